--- /dev/null
+++ b/cmd/celerypin/cmds/config.go
@@ -0,0 +1,193 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	protocol "celerypin.example/celerypin/internal/protocol/operator"
+	"celerypin.example/celerypin/internal/protocol/settings"
+	"celerypin.example/celerypin/internal/transport/operator"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check, compare, apply and show the configuration",
+		Commands: []*cli.Command{
+			{
+				Name: "check", Usage: "check a document without a host", ArgsUsage: "FILE", Action: configCheck,
+				Description: "Example: celerypin config check examples/pushpa/config.json",
+			},
+			{
+				Name: "diff", Usage: "compare a document with what is in force", ArgsUsage: "FILE",
+				Flags: operatorFlags(), Action: configDiff,
+			},
+			{
+				Name: "apply", Usage: "put a document in force", ArgsUsage: "FILE", Action: configApply,
+				Description: "The change is made from the revision named by --from, or from the one in force when the command starts.\n" +
+					"Exit status 4: another operator was faster. Exit status 5: accepted, but not in force on all hosts yet.",
+				Flags: operatorFlags(&cli.Uint64Flag{Name: "from", Usage: "the `REVISION` that the change was made from"}),
+			},
+			{Name: "status", Usage: "show the revision in force on each host", Flags: operatorFlags(), Action: configStatus},
+			{Name: "show", Usage: "print the configuration in force", Flags: operatorFlags(), Action: configShow},
+		},
+	}
+}
+
+func readConfig(c *cli.Command) (config.Config, error) {
+	file, err := onlyArgument(c, "FILE")
+	if err != nil {
+		return config.Config{}, err
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return config.Config{}, fmt.Errorf("%w: %w", settings.ErrInvalid, err)
+	}
+	return settings.DecodeConfig(file, data)
+}
+
+func configCheck(_ context.Context, c *cli.Command) error {
+	cfg, err := readConfig(c)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "valid: %d accounts, %d classes, %d routes, %d client blocks\n",
+		len(cfg.Accounts), len(cfg.Classes), len(cfg.Routes), len(cfg.ClientBlocks))
+	return err
+}
+
+func currentConfig(ctx context.Context, c *cli.Command) (protocol.ConfigDocument, error) {
+	return operator.Get[protocol.ConfigDocument](ctx, clientOf(c), protocol.ConfigPath)
+}
+
+func configDiff(ctx context.Context, c *cli.Command) error {
+	next, err := readConfig(c)
+	if err != nil {
+		return err
+	}
+	current, err := currentConfig(ctx, c)
+	if err != nil {
+		return err
+	}
+	lines := difference(indented(current.Config), indented(next))
+	_, err = fmt.Fprintf(c.Root().Writer, "from revision %d:\n%s\n", current.Revision, strings.Join(lines, "\n"))
+	return err
+}
+
+func indented(cfg config.Config) []string {
+	data, err := json.MarshalIndent(cfg, "", "  ")
+	if err != nil {
+		return nil
+	}
+	return strings.Split(string(data), "\n")
+}
+
+// difference returns the lines that one document has and the other has not,
+// marked with - and +, found by the longest common subsequence.
+func difference(a, b []string) []string {
+	length := make([][]int, len(a)+1)
+	for i := range length {
+		length[i] = make([]int, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				length[i][j] = length[i+1][j+1] + 1
+				continue
+			}
+			length[i][j] = max(length[i+1][j], length[i][j+1])
+		}
+	}
+	var out []string
+	i, j := 0, 0
+	for i < len(a) || j < len(b) {
+		switch {
+		case i < len(a) && j < len(b) && a[i] == b[j]:
+			i, j = i+1, j+1
+		case j == len(b) || (i < len(a) && length[i+1][j] >= length[i][j+1]):
+			out = append(out, "- "+a[i])
+			i++
+		default:
+			out = append(out, "+ "+b[j])
+			j++
+		}
+	}
+	return out
+}
+
+func configApply(ctx context.Context, c *cli.Command) error {
+	next, err := readConfig(c)
+	if err != nil {
+		return err
+	}
+	base := table.Revision(c.Uint64("from"))
+	if !c.IsSet("from") {
+		current, err := currentConfig(ctx, c)
+		if err != nil {
+			return err
+		}
+		base = current.Revision
+	}
+	document := protocol.ConfigDocument{Revision: base, Config: next}
+	applied, err := operator.Send[protocol.ConfigDocument, protocol.ConfigApplied](ctx, clientOf(c), http.MethodPut, protocol.ConfigPath, document)
+	if err != nil {
+		return operatorStatus(err)
+	}
+	err = printerOf(c).print(applied, func() [][]string {
+		return [][]string{
+			{"REVISION", "IN FORCE ON", "NOT YET ON"},
+			{fmt.Sprint(applied.Revision), names(applied.InForce), names(applied.Missing)},
+		}
+	})
+	return partial(err, len(applied.Missing) > 0)
+}
+
+// partial returns an error with its own exit status if a change is not in force everywhere.
+func partial(err error, missing bool) error {
+	if err != nil || !missing {
+		return err
+	}
+	return exitWith(ExitPartial, fmt.Errorf("accepted, but not in force on all hosts yet"))
+}
+
+func names(hosts []id.Host) string {
+	if len(hosts) == 0 {
+		return "-"
+	}
+	out := make([]string, len(hosts))
+	for i, h := range hosts {
+		out[i] = string(h)
+	}
+	return strings.Join(out, ",")
+}
+
+func configStatus(ctx context.Context, c *cli.Command) error {
+	list, err := operator.Get[protocol.HostList](ctx, clientOf(c), protocol.HostsPath)
+	if err != nil {
+		return err
+	}
+	return printerOf(c).print(list, func() [][]string {
+		rows := [][]string{{"HOST", "STATE", "ALIVE", "CONFIG REVISION"}}
+		for _, h := range list.Hosts {
+			rows = append(rows, []string{string(h.Host), string(h.State), fmt.Sprint(h.Alive), fmt.Sprint(h.Config)})
+		}
+		return rows
+	})
+}
+
+func configShow(ctx context.Context, c *cli.Command) error {
+	current, err := currentConfig(ctx, c)
+	if err != nil {
+		return err
+	}
+	return printer{json: true, out: c.Root().Writer}.print(current, nil)
+}
--- /dev/null
+++ b/cmd/celerypin/main.go
@@ -0,0 +1,12 @@
+// Command celerypin steers callers to healthy upstreams. See Documentation/
+// for its commands.
+package main
+
+import (
+	"context"
+	"os"
+
+	"celerypin.example/celerypin/cmd/celerypin/cmds"
+)
+
+func main() { os.Exit(cmds.Run(context.Background(), os.Args, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/protocol/host/host.go
@@ -0,0 +1,186 @@
+// Package host defines the messages between entry hosts. Each is one CBOR value
+// in one binary WebSocket message.
+package host
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/pkg/coordination/agent"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// Path is where a host accepts connections of other hosts.
+const Path = "/celerypin/v1/hosts/connect"
+
+// MaxMessage is the largest message that is accepted, in bytes.
+const MaxMessage = 8 << 20
+
+// ErrEmpty is returned for a message without content.
+var ErrEmpty = errors.New("message holds nothing")
+
+// Envelope is one message with its sender and its addressee. The addressee is
+// named so that a connection to a reused address is noticed.
+type Envelope struct {
+	From      id.Host    `cbor:"from"`
+	To        id.Host    `cbor:"to"`
+	Heartbeat *heartbeat `cbor:"heartbeat,omitempty"`
+	Relay     *relay     `cbor:"relay,omitempty"`
+	Fetch     *fetch     `cbor:"fetch,omitempty"`
+	Borrow    *borrow    `cbor:"borrow,omitempty"`
+	Loan      *loan      `cbor:"loan,omitempty"`
+	Marks     *marks     `cbor:"marks,omitempty"`
+	MarksHeld *marks     `cbor:"marks_held,omitempty"`
+}
+
+type heartbeat struct {
+	Incarnation   id.Incarnation   `cbor:"incarnation"`
+	Region        id.Region        `cbor:"region"`
+	FailureDomain id.FailureDomain `cbor:"failure_domain"`
+	Leaving       bool             `cbor:"leaving,omitempty"`
+	Sent          int64            `cbor:"sent_ns"`
+	Echo          int64            `cbor:"echo_ns,omitempty"`
+	EchoHeld      int64            `cbor:"echo_held_ns,omitempty"`
+	ReadAge       *int64           `cbor:"read_age_ns,omitempty"`
+	UpAge         *int64           `cbor:"up_age_ns,omitempty"`
+	OutAge        *int64           `cbor:"out_age_ns,omitempty"`
+	Complete      table.Revision   `cbor:"complete"`
+	Config        table.Revision   `cbor:"config"`
+	Marks         []key.Hash       `cbor:"marks,omitempty"`
+	Levels        []level          `cbor:"levels,omitempty"`
+}
+
+type level struct {
+	Account id.Account     `cbor:"account"`
+	Demand  unit.Tokens    `cbor:"demand"`
+	Tokens  unit.Tokens    `cbor:"tokens"`
+	Applied table.Revision `cbor:"applied"`
+}
+
+type relay struct {
+	Changes table.Changes `cbor:"changes"`
+}
+
+type fetch struct {
+	After table.Revision `cbor:"after"`
+}
+
+type borrow struct {
+	Loan    id.Loan     `cbor:"loan"`
+	Account id.Account  `cbor:"account"`
+	Amount  unit.Tokens `cbor:"amount"`
+}
+
+type loan = borrow
+
+type marks struct {
+	Hashes []key.Hash `cbor:"hashes"`
+}
+
+var wire codec.Codec[Envelope] = codec.CBOR[Envelope]{}
+
+// Encode returns the wire form of a message from one host to another.
+func Encode(from, to id.Host, m agent.Message) ([]byte, error) {
+	return wire.Encode(toWire(from, to, m))
+}
+
+// Decode returns sender, addressee and content of a message.
+func Decode(data []byte) (from, to id.Host, m agent.Message, err error) {
+	e, err := wire.Decode(data)
+	if err != nil {
+		return "", "", agent.Message{}, fmt.Errorf("message of a host: %w", err)
+	}
+	m = fromWire(e)
+	if m == (agent.Message{}) {
+		return e.From, e.To, m, fmt.Errorf("message of host %q: %w", e.From, ErrEmpty)
+	}
+	return e.From, e.To, m, nil
+}
+
+func toWire(from, to id.Host, m agent.Message) Envelope {
+	e := Envelope{From: from, To: to}
+	switch {
+	case m.Heartbeat != nil:
+		e.Heartbeat = heartbeatToWire(m.Heartbeat)
+	case m.Relay != nil:
+		e.Relay = &relay{Changes: m.Relay.Changes}
+	case m.Fetch != nil:
+		e.Fetch = &fetch{After: m.Fetch.After}
+	case m.Borrow != nil:
+		e.Borrow = &borrow{Loan: m.Borrow.Loan, Account: m.Borrow.Account, Amount: m.Borrow.Amount}
+	case m.Loan != nil:
+		e.Loan = &loan{Loan: m.Loan.Loan, Account: m.Loan.Account, Amount: m.Loan.Amount}
+	case m.Marks != nil:
+		e.Marks = &marks{Hashes: m.Marks.Hashes}
+	case m.MarksHeld != nil:
+		e.MarksHeld = &marks{Hashes: m.MarksHeld.Hashes}
+	}
+	return e
+}
+
+func fromWire(e Envelope) agent.Message {
+	switch {
+	case e.Heartbeat != nil:
+		return agent.Message{Heartbeat: heartbeatFromWire(e.Heartbeat)}
+	case e.Relay != nil:
+		return agent.Message{Relay: &agent.Relay{Changes: e.Relay.Changes}}
+	case e.Fetch != nil:
+		return agent.Message{Fetch: &agent.Fetch{After: e.Fetch.After}}
+	case e.Borrow != nil:
+		return agent.Message{Borrow: &agent.Borrow{Loan: e.Borrow.Loan, Account: e.Borrow.Account, Amount: e.Borrow.Amount}}
+	case e.Loan != nil:
+		return agent.Message{Loan: &agent.Loan{Loan: e.Loan.Loan, Account: e.Loan.Account, Amount: e.Loan.Amount}}
+	case e.Marks != nil:
+		return agent.Message{Marks: &agent.Marks{Hashes: e.Marks.Hashes}}
+	case e.MarksHeld != nil:
+		return agent.Message{MarksHeld: &agent.MarksHeld{Hashes: e.MarksHeld.Hashes}}
+	}
+	return agent.Message{}
+}
+
+func heartbeatToWire(h *agent.Heartbeat) *heartbeat {
+	out := &heartbeat{
+		Incarnation: h.Incarnation, Region: h.Region, FailureDomain: h.FailureDomain, Leaving: h.Leaving,
+		Sent: int64(h.Sent), Echo: int64(h.Echo), EchoHeld: int64(h.EchoHeld),
+		ReadAge: ageToWire(h.ReadAge), UpAge: ageToWire(h.UpAge), OutAge: ageToWire(h.OutAge),
+		Complete: h.Complete, Config: h.Config, Marks: h.Marks,
+	}
+	for _, l := range h.Levels {
+		out.Levels = append(out.Levels, level(l))
+	}
+	return out
+}
+
+func heartbeatFromWire(h *heartbeat) *agent.Heartbeat {
+	out := &agent.Heartbeat{
+		Incarnation: h.Incarnation, Region: h.Region, FailureDomain: h.FailureDomain, Leaving: h.Leaving,
+		Sent: clock.Instant(h.Sent), Echo: clock.Instant(h.Echo), EchoHeld: time.Duration(h.EchoHeld),
+		ReadAge: ageFromWire(h.ReadAge), UpAge: ageFromWire(h.UpAge), OutAge: ageFromWire(h.OutAge),
+		Complete: h.Complete, Config: h.Config, Marks: h.Marks,
+	}
+	for _, l := range h.Levels {
+		out.Levels = append(out.Levels, agent.Level(l))
+	}
+	return out
+}
+
+func ageToWire(a agent.Age) *int64 {
+	if !a.Known {
+		return nil
+	}
+	since := int64(a.Since)
+	return &since
+}
+
+func ageFromWire(since *int64) agent.Age {
+	if since == nil || *since < 0 {
+		return agent.Age{}
+	}
+	return agent.Age{Known: true, Since: time.Duration(*since)}
+}
--- /dev/null
+++ b/internal/protocol/settings/strict.go
@@ -0,0 +1,324 @@
+package settings
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"celerypin.example/celerypin/pkg/state/config"
+)
+
+// ErrInvalid is the sentinel of all errors about a document.
+var ErrInvalid = errors.New("invalid document")
+
+// Fault is one error in a document.
+type Fault struct {
+	File  string
+	Field string
+	Want  string
+	Got   string
+}
+
+// Error names file, field, expectation and value.
+func (f Fault) Error() string {
+	where := f.File
+	if f.Field != "" {
+		where += ": " + f.Field
+	}
+	return fmt.Sprintf("%s: want %s, got %s", where, f.Want, f.Got)
+}
+
+// Is makes a Fault match ErrInvalid.
+func (f Fault) Is(target error) bool { return target == ErrInvalid }
+
+var checker = newChecker()
+
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return jsonName(f) })
+	return v
+}
+
+// Decode reads a JSON document of type T strictly. All faults are reported at
+// once, joined: unknown fields, wrong types and values out of range. File is
+// used for messages only.
+func Decode[T any](file string, data []byte) (T, error) {
+	var out T
+	tree, err := parse(file, data)
+	if err != nil {
+		return out, err
+	}
+	walk := walker{file: file}
+	walk.value("", tree, reflect.TypeFor[T]())
+	pruned, err := json.Marshal(walk.pruned(tree))
+	if err != nil {
+		return out, Fault{file, "", "JSON", err.Error()}
+	}
+	if err := json.Unmarshal(pruned, &out); err != nil {
+		return out, Fault{file, "", "a document of the documented shape", err.Error()}
+	}
+	faults := append(walk.faults, walk.unreported(validate(file, out))...)
+	return out, errors.Join(faults...)
+}
+
+func parse(file string, data []byte) (any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var tree any
+	if err := decoder.Decode(&tree); err != nil {
+		line := 1 + bytes.Count(data[:min(int(decoder.InputOffset()), len(data))], []byte("\n"))
+		return nil, Fault{file, fmt.Sprintf("line %d", line), "a JSON object", err.Error()}
+	}
+	if decoder.More() {
+		return nil, Fault{file, "", "one JSON object", "more data after it"}
+	}
+	if _, ok := tree.(map[string]any); !ok {
+		return nil, Fault{file, "", "a JSON object", describe(tree)}
+	}
+	return tree, nil
+}
+
+// walker compares a parsed document with the type it should have.
+type walker struct {
+	file   string
+	faults []error
+	bad    []string
+}
+
+func (w *walker) fault(path, want string, got any) {
+	w.faults = append(w.faults, Fault{w.file, path, want, describe(got)})
+	w.bad = append(w.bad, path)
+}
+
+func (w *walker) value(path string, v any, t reflect.Type) {
+	if t.Kind() == reflect.Pointer {
+		if v != nil {
+			w.value(path, v, t.Elem())
+		}
+		return
+	}
+	if reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
+		w.text(path, v, t)
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		w.object(path, v, t)
+	case reflect.Slice:
+		w.list(path, v, t)
+	default:
+		w.scalar(path, v, t)
+	}
+}
+
+func (w *walker) text(path string, v any, t reflect.Type) {
+	s, ok := v.(string)
+	if !ok {
+		w.fault(path, wantOf(t), v)
+		return
+	}
+	target := reflect.New(t).Interface().(encoding.TextUnmarshaler)
+	if err := target.UnmarshalText([]byte(s)); err != nil {
+		w.fault(path, wantOf(t), v)
+	}
+}
+
+func wantOf(t reflect.Type) string {
+	switch t.Name() {
+	case "Duration":
+		return `a duration such as "250ms"`
+	case "Prefix":
+		return "an address block such as 198.51.100.0/24"
+	default:
+		return "text of type " + strings.ToLower(t.Name())
+	}
+}
+
+func (w *walker) object(path string, v any, t reflect.Type) {
+	fields, ok := v.(map[string]any)
+	if !ok {
+		w.fault(path, "an object", v)
+		return
+	}
+	known := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		known[jsonName(t.Field(i))] = t.Field(i).Type
+	}
+	for _, name := range sortedKeys(fields) {
+		field, exists := known[name]
+		if !exists {
+			w.fault(join(path, name), "one of "+strings.Join(sortedKeys(known), ", "), "an unknown field")
+			continue
+		}
+		w.value(join(path, name), fields[name], field)
+	}
+}
+
+func (w *walker) list(path string, v any, t reflect.Type) {
+	items, ok := v.([]any)
+	if !ok {
+		w.fault(path, "a list", v)
+		return
+	}
+	for i, item := range items {
+		w.value(fmt.Sprintf("%s[%d]", path, i), item, t.Elem())
+	}
+}
+
+func (w *walker) scalar(path string, v any, t reflect.Type) {
+	data, err := json.Marshal(v)
+	if err == nil && v != nil {
+		err = json.Unmarshal(data, reflect.New(t).Interface())
+	}
+	if err != nil || v == nil {
+		w.fault(path, kindName(t.Kind()), v)
+	}
+}
+
+func kindName(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "a whole number"
+	}
+}
+
+// pruned returns the document without the values that are at fault.
+func (w *walker) pruned(tree any) any { return prune("", tree, w.bad) }
+
+func prune(path string, v any, bad []string) any {
+	switch node := v.(type) {
+	case map[string]any:
+		out := map[string]any{}
+		for name, child := range node {
+			if p := join(path, name); !slices.Contains(bad, p) {
+				out[name] = prune(p, child, bad)
+			}
+		}
+		return out
+	case []any:
+		out := make([]any, len(node))
+		for i, child := range node {
+			if p := fmt.Sprintf("%s[%d]", path, i); !slices.Contains(bad, p) {
+				out[i] = prune(p, child, bad)
+			}
+		}
+		return out
+	default:
+		return v
+	}
+}
+
+// unreported drops the faults of fields that are reported already.
+func (w *walker) unreported(faults []error) []error {
+	return slices.DeleteFunc(faults, func(err error) bool {
+		var f Fault
+		return errors.As(err, &f) && slices.Contains(w.bad, f.Field)
+	})
+}
+
+func validate(file string, v any) []error {
+	var invalid validator.ValidationErrors
+	if !errors.As(checker.Struct(v), &invalid) {
+		return nil
+	}
+	var faults []error
+	for _, e := range invalid {
+		_, field, _ := strings.Cut(e.Namespace(), ".")
+		faults = append(faults, Fault{file, field, expectation(e), describe(e.Value())})
+	}
+	return faults
+}
+
+func expectation(e validator.FieldError) string {
+	switch e.Tag() {
+	case "required":
+		return "a value"
+	case "gt":
+		return "more than " + orZero(e.Param())
+	case "gte":
+		return "at least " + e.Param()
+	case "lte":
+		return "at most " + e.Param()
+	case "min":
+		return "at least " + e.Param() + " characters or items"
+	case "oneof":
+		return "one of " + strings.ReplaceAll(e.Param(), " ", ", ")
+	case "startswith":
+		return "text that starts with " + e.Param()
+	case "hostname_port":
+		return "an address such as 127.0.0.1:8100"
+	case "url":
+		return "a URL such as http://127.0.0.1:8000"
+	default:
+		return e.Tag()
+	}
+}
+
+func orZero(param string) string {
+	if param == "" {
+		return "0"
+	}
+	return param
+}
+
+// FromReferences turns the reference faults of a configuration into faults of a file.
+func FromReferences(file string, errs []error) []error {
+	var out []error
+	for _, err := range errs {
+		var f config.FieldError
+		if errors.As(err, &f) {
+			out = append(out, Fault{file, f.Field, f.Want, f.Got})
+		}
+	}
+	return out
+}
+
+func describe(v any) string {
+	switch value := v.(type) {
+	case nil:
+		return "nothing"
+	case string:
+		if value == "" {
+			return "nothing"
+		}
+		return fmt.Sprintf("%q", value)
+	case map[string]any:
+		return "an object"
+	case []any:
+		return "a list"
+	default:
+		return fmt.Sprint(value)
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,315 @@
+// Package platform is a small stand-in of the platform: its transactional table
+// service, its object store and its lagging list of upstreams. Its faults can
+// be turned while it runs.
+package platform
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/internal/protocol/platform"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+// Limits of the stand-in.
+const (
+	maxObject  = 64 << 20
+	headerTime = 5 * time.Second
+)
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	clock    clock.Clock
+	memory   *table.Memory
+	listener net.Listener
+	http     *http.Server
+
+	mu      sync.Mutex
+	knobs   platform.Knobs
+	changes []listChange
+	objects map[string]object
+	// unblock is closed and replaced when the knobs change, so that silent
+	// requests see it.
+	unblock chan struct{}
+}
+
+// listChange is one change of the list of upstreams; the list is the sum of
+// those that are older than the lag.
+type listChange struct {
+	at      clock.Instant
+	request platform.UpstreamRequest
+}
+
+type object struct {
+	etag string
+	data []byte
+}
+
+// New returns a stand-in that listens on address.
+func New(address string, knobs platform.Knobs, c clock.Clock) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if knobs.Mode == "" {
+		knobs.Mode = platform.ModeUp
+	}
+	s := &Server{
+		clock: c, memory: table.NewMemory(), listener: listener, knobs: knobs,
+		objects: map[string]object{}, unblock: make(chan struct{}),
+	}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTime}
+	return s, nil
+}
+
+// Start begins to serve.
+func (s *Server) Start() { go func() { _ = s.http.Serve(s.listener) }() }
+
+// Close ends the stand-in.
+func (s *Server) Close() {
+	s.SetKnobs(platform.Knobs{Mode: platform.ModeOut})
+	_ = s.http.Close()
+}
+
+// URL returns the base URL of the service.
+func (s *Server) URL() string { return "http://" + s.listener.Addr().String() }
+
+// Memory returns the table, for inspection.
+func (s *Server) Memory() *table.Memory { return s.memory }
+
+// SetKnobs turns the faults.
+func (s *Server) SetKnobs(k platform.Knobs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.knobs = k
+	close(s.unblock)
+	s.unblock = make(chan struct{})
+}
+
+func (s *Server) routes() http.Handler {
+	router := bunrouter.New()
+	router.POST(platform.TxnPath, s.guard(s.txn))
+	router.POST(platform.RowsPath, s.guard(s.rows))
+	router.GET(platform.ChangesPath, s.guard(s.changesSince))
+	router.GET(platform.UpstreamsPath, s.guard(s.upstreams))
+	router.POST(platform.UpstreamsPath, s.guard(s.tell))
+	router.GET(platform.ObjectsPath+"*name", s.guard(s.getObject))
+	router.PUT(platform.ObjectsPath+"*name", s.guard(s.putObject))
+	router.GET(platform.KnobsPath, bunrouter.HTTPHandlerFunc(s.getKnobs))
+	router.PUT(platform.KnobsPath, bunrouter.HTTPHandlerFunc(s.putKnobs))
+	router.GET(platform.CountsPath, bunrouter.HTTPHandlerFunc(s.counts))
+	return router
+}
+
+// guard applies the faults to a handler.
+func (s *Server) guard(h http.HandlerFunc) bunrouter.HandlerFunc {
+	return bunrouter.HTTPHandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		knobs, unblock := s.current()
+		host := id.Host(r.Header.Get(platform.HostHeader))
+		if knobs.Mode == platform.ModeSilent || slices.Contains(knobs.CutHosts, host) {
+			hang(r.Context(), unblock)
+			panic(http.ErrAbortHandler)
+		}
+		if knobs.Mode == platform.ModeOut {
+			write(w, http.StatusServiceUnavailable, platform.Error{Message: "out of service"})
+			return
+		}
+		s.clock.Sleep(r.Context(), time.Duration(knobs.DelayMS)*time.Millisecond)
+		h(w, r)
+	})
+}
+
+func (s *Server) current() (platform.Knobs, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.knobs, s.unblock
+}
+
+// hang waits until the request is given up or the knobs change.
+func hang(ctx context.Context, unblock <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-unblock:
+	}
+}
+
+func (s *Server) txn(w http.ResponseWriter, r *http.Request) {
+	txn, ok := read[table.Txn](w, r)
+	if !ok {
+		return
+	}
+	revision, err := s.memory.Commit(r.Context(), txn)
+	if s.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	var conflict *table.Conflict
+	if errors.As(err, &conflict) {
+		write(w, http.StatusConflict, platform.RowsAnswer{Rows: conflict.Rows})
+		return
+	}
+	write(w, http.StatusOK, platform.TxnAnswer{Revision: revision})
+}
+
+func (s *Server) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.knobs.LoseAnswers <= 0 {
+		return false
+	}
+	s.knobs.LoseAnswers--
+	return true
+}
+
+func (s *Server) rows(w http.ResponseWriter, r *http.Request) {
+	request, ok := read[platform.RowsRequest](w, r)
+	if !ok {
+		return
+	}
+	rows, _ := s.memory.Rows(r.Context(), request.Keys)
+	write(w, http.StatusOK, platform.RowsAnswer{Rows: rows})
+}
+
+func (s *Server) changesSince(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		write(w, http.StatusBadRequest, platform.Error{Message: "after must be a revision"})
+		return
+	}
+	changes, _ := s.memory.Changes(r.Context(), table.Revision(after))
+	write(w, http.StatusOK, changes)
+}
+
+func (s *Server) tell(w http.ResponseWriter, r *http.Request) {
+	request, ok := read[platform.UpstreamRequest](w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	s.changes = append(s.changes, listChange{at: s.clock.Now(), request: request})
+	s.mu.Unlock()
+	write(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) upstreams(w http.ResponseWriter, _ *http.Request) {
+	write(w, http.StatusOK, platform.UpstreamsAnswer{Upstreams: s.laggingList()})
+}
+
+// laggingList returns the list of upstreams as it was before the lag.
+func (s *Server) laggingList() []fleet.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.clock.Now().Add(-time.Duration(s.knobs.ListLagMS) * time.Millisecond)
+	list := []fleet.Upstream{}
+	for _, change := range s.changes {
+		if change.at > limit {
+			continue
+		}
+		list = slices.DeleteFunc(list, func(u fleet.Upstream) bool { return u.ID == change.request.Upstream.ID })
+		if !change.request.Ended {
+			list = append(list, change.request.Upstream)
+		}
+	}
+	return list
+}
+
+func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, ok := s.objects[r.URL.Path]
+	s.mu.Unlock()
+	if !ok {
+		write(w, http.StatusNotFound, platform.Error{Message: "no such object"})
+		return
+	}
+	w.Header().Set("ETag", o.etag)
+	_, _ = w.Write(o.data)
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	if err != nil {
+		write(w, http.StatusBadRequest, platform.Error{Message: err.Error()})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, exists := s.objects[r.URL.Path]
+	if !preconditionHolds(r, old, exists) {
+		write(w, http.StatusPreconditionFailed, platform.RowsAnswer{})
+		return
+	}
+	sum := sha256.Sum256(data)
+	o := object{etag: `"` + hex.EncodeToString(sum[:8]) + `"`, data: data}
+	s.objects[r.URL.Path] = o
+	w.Header().Set("ETag", o.etag)
+	write(w, http.StatusOK, struct{}{})
+}
+
+func preconditionHolds(r *http.Request, old object, exists bool) bool {
+	if r.Header.Get("If-None-Match") == "*" && exists {
+		return false
+	}
+	match := r.Header.Get("If-Match")
+	return match == "" || (exists && old.etag == match)
+}
+
+func (s *Server) getKnobs(w http.ResponseWriter, _ *http.Request) {
+	knobs, _ := s.current()
+	write(w, http.StatusOK, knobs)
+}
+
+func (s *Server) putKnobs(w http.ResponseWriter, r *http.Request) {
+	knobs, ok := read[platform.Knobs](w, r)
+	if !ok {
+		return
+	}
+	switch knobs.Mode {
+	case platform.ModeUp, platform.ModeOut, platform.ModeSilent:
+		s.SetKnobs(knobs)
+		write(w, http.StatusOK, knobs)
+	default:
+		write(w, http.StatusBadRequest, platform.Error{Message: "mode: want up, out or silent"})
+	}
+}
+
+func (s *Server) counts(w http.ResponseWriter, _ *http.Request) {
+	reads, writes := s.memory.Counts()
+	write(w, http.StatusOK, platform.Counts{Reads: reads, Writes: writes})
+}
+
+func read[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxObject))
+	var v T
+	if err == nil {
+		v, err = codec.JSON[T]{}.Decode(data)
+	}
+	if err != nil {
+		write(w, http.StatusBadRequest, platform.Error{Message: err.Error()})
+		return v, false
+	}
+	return v, true
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	data, err := codec.JSON[any]{}.Encode(v)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/transport/caller/server.go
@@ -0,0 +1,185 @@
+// Package caller serves callers over HTTP: look-ups and the forwarding of requests.
+package caller
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/uptrace/bunrouter"
+
+	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/internal/protocol/caller"
+	transport "celerypin.example/celerypin/internal/transport/upstream"
+	"celerypin.example/celerypin/pkg/coordination/admit"
+	"celerypin.example/celerypin/pkg/coordination/claim"
+	"celerypin.example/celerypin/pkg/coordination/lookup"
+	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/rcu"
+)
+
+// Borrower gets budget from other hosts.
+type Borrower interface {
+	// Borrow waits until a loan for the account has been decided, or ctx ends,
+	// and tells whether trying again is worthwhile.
+	Borrow(ctx context.Context, account id.Account) bool
+}
+
+// Parts is what a Server is made of.
+type Parts struct {
+	Host      id.Host
+	Region    id.Region
+	Gate      *admit.Gate
+	Lookup    *rcu.Cell[lookup.Table]
+	Hasher    key.Hasher
+	Borrower  Borrower
+	Picker    *pick.Picker
+	Claims    *claim.Book
+	Forwarder *transport.Forwarder
+	Clock     clock.Clock
+	Log       *logging.Log
+	Metrics   metrics.Registry
+}
+
+// Server answers callers. It is safe for concurrent use; a request reads
+// snapshots only and takes no lock.
+type Server struct {
+	Parts
+	seed     maphash.Seed
+	stopping atomic.Bool
+	served   metrics.Counter
+	refused  metrics.Counter
+	unknown  metrics.Counter
+	lookups  metrics.Counter
+	latency  metrics.Timer
+}
+
+// New returns a server made of parts.
+func New(p Parts) *Server {
+	return &Server{
+		Parts:   p,
+		seed:    maphash.MakeSeed(),
+		served:  metrics.NewRegisteredCounter("requests.served", p.Metrics),
+		refused: metrics.NewRegisteredCounter("requests.refused_not_run", p.Metrics),
+		unknown: metrics.NewRegisteredCounter("requests.outcome_unknown", p.Metrics),
+		lookups: metrics.NewRegisteredCounter("lookups.answered", p.Metrics),
+		latency: metrics.NewRegisteredTimer("requests.latency", p.Metrics),
+	}
+}
+
+// Register adds the routes of callers to a router.
+func (s *Server) Register(router *bunrouter.Router) {
+	router.GET(caller.LookupPath, bunrouter.HTTPHandlerFunc(s.lookUp))
+	handle := bunrouter.HTTPHandlerFunc(s.forward)
+	for _, method := range []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	} {
+		router.Handle(method, "/*path", handle)
+	}
+}
+
+// Stop makes answers ask callers to close their connections.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+func (s *Server) lookUp(w http.ResponseWriter, r *http.Request) {
+	account, refusal := s.lookupAccount(r)
+	if refusal != nil {
+		s.refuse(w, refusal)
+		return
+	}
+	table := s.Lookup.Load()
+	answer := table.Lookup(s.regionOf(r), account, s.seedOf(r))
+	if answer.Count == 0 {
+		s.refuse(w, admit.ErrUpstreamsGone)
+		return
+	}
+	s.lookups.Inc(1)
+	data, err := caller.LookupCodec.Encode(caller.FromAnswer(answer))
+	if err != nil {
+		s.refuse(w, &admit.Refusal{Outcome: admit.NotRun, Reason: admit.Malformed, Detail: err.Error()})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "max-age="+strconv.Itoa(int(answer.Keep/time.Second)))
+	_, _ = w.Write(data)
+}
+
+// lookupAccount authenticates a look-up that shows a key; one without a key is
+// answered without regard to budgets.
+func (s *Server) lookupAccount(r *http.Request) (id.Account, *admit.Refusal) {
+	clear, present, ok := caller.Key(r.Header)
+	if !ok {
+		return "", admit.ErrKeyMisplaced
+	}
+	if !present {
+		return "", nil
+	}
+	request := admit.Request{HasKey: true, Hash: s.Hasher.Hash(clear)}
+	account, refusal := s.Gate.Authenticate(&request, s.Clock.Now())
+	if errors.Is(refusal, admit.ErrKeyRejected) && refusal != nil {
+		return "", refusal
+	}
+	return account, nil
+}
+
+// regionOf finds the caller's region: the one it names, the one of its address
+// block, or this host's.
+func (s *Server) regionOf(r *http.Request) id.Region {
+	if named := r.URL.Query().Get("region"); named != "" {
+		return id.Region(named)
+	}
+	if address, err := netip.ParseAddr(clientAddress(r)); err == nil {
+		if region, ok := s.Gate.Config.Load().Blocks().Region(address); ok {
+			return region
+		}
+	}
+	return s.Region
+}
+
+func (s *Server) seedOf(r *http.Request) uint64 {
+	if named := r.URL.Query().Get("client"); named != "" {
+		return maphash.String(s.seed, named)
+	}
+	return maphash.String(s.seed, r.RemoteAddr)
+}
+
+func clientAddress(r *http.Request) string {
+	address, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return address
+}
+
+// refuse writes a refusal in header and body.
+func (s *Server) refuse(w http.ResponseWriter, refusal *admit.Refusal) {
+	if refusal.Outcome == admit.NotRun {
+		s.refused.Inc(1)
+	} else {
+		s.unknown.Inc(1)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(caller.OutcomeHeader, string(refusal.Outcome))
+	h.Set(caller.ReasonHeader, string(refusal.Reason))
+	h.Set(caller.HostHeader, string(s.Host))
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((refusal.RetryAfter+time.Second-1)/time.Second)))
+	}
+	data, err := caller.RefusalCodec.Encode(caller.FromRefusal(refusal))
+	if err != nil {
+		data = []byte(`{"outcome":"` + string(refusal.Outcome) + `"}`)
+	}
+	w.WriteHeader(caller.Status(refusal))
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/transport/upstream/forward.go
@@ -0,0 +1,189 @@
+// Package upstream sends requests to upstreams and polls their health and load.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"celerypin.example/celerypin/internal/protocol/upstream"
+	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// Errors of an exchange.
+var (
+	// ErrNotRun means that the upstream has provably not run the request.
+	ErrNotRun = errors.New("the upstream did not run the request")
+	// ErrFailed means that the exchange failed after the request may have been run.
+	ErrFailed = errors.New("the exchange with the upstream failed")
+	// ErrForeign means that the answer belongs to another exchange.
+	ErrForeign = errors.New("the answer belongs to another exchange")
+)
+
+// Limits of connections to upstreams.
+const (
+	dialTimeout = time.Second
+	// idleLimit is the age from which an idle connection is not used again.
+	idleLimit    = 2 * time.Second
+	idlePerHost  = 16
+	maxHeaderLen = 64 << 10
+)
+
+// Request is one request as it is sent to an upstream.
+type Request struct {
+	Method string
+	// Target is the path with the query.
+	Target     string
+	Header     http.Header
+	Body       io.Reader
+	Length     int64
+	Account    id.Account
+	RequestID  id.Request
+	Idempotent bool
+	// Remaining is the time until the deadline.
+	Remaining time.Duration
+}
+
+// Forwarder carries exchanges with upstreams.
+//
+// Idempotent requests use kept connections. A non-idempotent request always
+// gets a new connection and a body that cannot be rewound, so that nothing
+// below this package can send it twice, and no silent connection can take it.
+type Forwarder struct {
+	kept  *http.Transport
+	fresh *http.Transport
+	clock clock.Clock
+	// exchanges numbers the exchanges of this process.
+	exchanges atomic.Uint64
+	prefix    string
+}
+
+// NewForwarder returns a forwarder; prefix makes its exchange identifiers unique in the fleet.
+func NewForwarder(prefix string, c clock.Clock) *Forwarder {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleLimit}
+	transport := func() *http.Transport {
+		return &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleLimit,
+			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderLen,
+		}
+	}
+	f := &Forwarder{kept: transport(), fresh: transport(), clock: c, prefix: prefix}
+	f.fresh.DisableKeepAlives = true
+	return f
+}
+
+// Close closes idle connections.
+func (f *Forwarder) Close() {
+	f.kept.CloseIdleConnections()
+	f.fresh.CloseIdleConnections()
+}
+
+// Do sends a request to a worker and returns its answer. The error matches
+// ErrNotRun, ErrForeign or ErrFailed.
+func (f *Forwarder) Do(ctx context.Context, w *pick.Worker, r *Request) (*http.Response, error) {
+	out := f.build(ctx, w, r)
+	exchange := out.Header.Get(upstream.ExchangeHeader)
+	transport := f.kept
+	if !r.Idempotent {
+		transport = f.fresh
+	}
+	response, err := transport.RoundTrip(out)
+	if err != nil {
+		return nil, f.failed(w, err)
+	}
+	return f.judge(w, response, exchange)
+}
+
+func (f *Forwarder) build(ctx context.Context, w *pick.Worker, r *Request) *http.Request {
+	target, err := url.ParseRequestURI(r.Target)
+	if err != nil {
+		target = &url.URL{Path: "/"}
+	}
+	target.Scheme, target.Host = "http", w.Info.Address
+	out := (&http.Request{
+		Method: r.Method, URL: target, Host: w.Info.Address, Header: r.Header,
+		Body: body(r), ContentLength: r.Length, ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	out.Header.Set(upstream.ExchangeHeader, f.prefix+strconv.FormatUint(f.exchanges.Add(1), 36))
+	out.Header.Set(upstream.DeadlineHeader, strconv.FormatInt(max(r.Remaining.Milliseconds(), 1), 10))
+	if r.Account != "" {
+		out.Header.Set(upstream.AccountHeader, string(r.Account))
+	}
+	if r.RequestID != "" {
+		out.Header.Set(upstream.RequestIDHeader, string(r.RequestID))
+	}
+	return out
+}
+
+// body returns the request's body in a form that the transport cannot replay,
+// or none for an idempotent request without one.
+func body(r *Request) io.ReadCloser {
+	if r.Idempotent && (r.Body == nil || r.Body == http.NoBody) {
+		return nil
+	}
+	if r.Body == nil {
+		return io.NopCloser(oneWay{http.NoBody})
+	}
+	return io.NopCloser(oneWay{r.Body})
+}
+
+// oneWay hides all methods of a reader but Read.
+type oneWay struct{ io.Reader }
+
+// failed classifies an error without an answer. A connection that could not be
+// made proves that nothing was run.
+func (f *Forwarder) failed(w *pick.Worker, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		w.Failed(f.clock.Now())
+		return errors.Join(ErrNotRun, err)
+	}
+	if errors.Is(err, context.Canceled) {
+		return errors.Join(ErrFailed, err)
+	}
+	w.Failed(f.clock.Now())
+	return errors.Join(ErrFailed, err)
+}
+
+// judge looks at the head of an answer.
+func (f *Forwarder) judge(w *pick.Worker, response *http.Response, exchange string) (*http.Response, error) {
+	if response.Header.Get(upstream.DrainingHeader) == "true" {
+		w.Draining()
+	}
+	if got := response.Header.Get(upstream.ExchangeHeader); got != "" && got != exchange {
+		_ = response.Body.Close()
+		f.kept.CloseIdleConnections()
+		w.Failed(f.clock.Now())
+		return nil, ErrForeign
+	}
+	if response.Header.Get(upstream.NotRunHeader) == "true" {
+		_ = response.Body.Close()
+		w.Shed(retryAfter(response.Header), f.clock.Now())
+		return nil, ErrNotRun
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		w.Failed(f.clock.Now())
+	} else {
+		w.Succeeded()
+	}
+	return response, nil
+}
+
+// defaultPause is the pause after shed load that names none.
+const defaultPause = 200 * time.Millisecond
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || seconds <= 0 {
+		return defaultPause
+	}
+	return min(time.Duration(seconds*float64(time.Second)), time.Minute)
+}
--- /dev/null
+++ b/pkg/coordination/agent/borrow.go
@@ -0,0 +1,242 @@
+package agent
+
+import (
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// borrowState is the state of the loans that this host asks for.
+type borrowState struct {
+	nextLoan id.Loan
+	open     map[id.Account]openLoan
+	// waiting counts the requests of each account that wait for a loan.
+	waiting map[id.Account]int
+	// arrived is replaced and closed when a loan of the account has been decided.
+	arrived map[id.Account]chan struct{}
+}
+
+// openLoan is a loan that was asked for and not answered yet.
+type openLoan struct {
+	loan   id.Loan
+	lender id.Host
+	sent   clock.Instant
+}
+
+func newBorrowState() borrowState {
+	return borrowState{open: map[id.Account]openLoan{}, waiting: map[id.Account]int{}, arrived: map[id.Account]chan struct{}{}}
+}
+
+// Times that shape borrowing, in terms of the host's own demand.
+const (
+	// lowWater is the time that the tokens at hand should last before a loan is asked for.
+	lowWater = 150 * time.Millisecond
+	// loanCover is the time that a loan should last.
+	loanCover = 400 * time.Millisecond
+	// reserveCover is the time for which a lender keeps tokens for its own callers.
+	reserveCover = 200 * time.Millisecond
+	// demandWindow is the time constant of the measurement of demand.
+	demandWindow = 2 * time.Second
+	// meterInterval is the least time between two samples of demand.
+	meterInterval = 100 * time.Millisecond
+)
+
+// demandMeter measures what callers of one account ask for, per second.
+type demandMeter struct {
+	wanted unit.Tokens
+	at     clock.Instant
+	demand float64
+}
+
+func (m *demandMeter) sample(wanted unit.Tokens, now clock.Instant) {
+	elapsed := now.Sub(m.at)
+	rate := float64(wanted-m.wanted) / elapsed.Seconds()
+	weight := min(1, float64(elapsed)/float64(demandWindow))
+	m.demand += weight * (rate - m.demand)
+	m.wanted, m.at = wanted, now
+}
+
+func (a *Agent) measureDemand(now clock.Instant) {
+	for _, account := range a.view.Pool.Keys() {
+		m := a.demand[account]
+		if m == nil {
+			a.demand[account] = &demandMeter{at: now}
+			continue
+		}
+		if now.Sub(m.at) < meterInterval {
+			continue
+		}
+		wanted, _ := a.view.Pool.Bucket(account).Counts()
+		m.sample(wanted, now)
+	}
+}
+
+func (a *Agent) demandOf(account id.Account) unit.Tokens {
+	if m := a.demand[account]; m != nil {
+		return unit.Tokens(m.demand)
+	}
+	return 0
+}
+
+func (a *Agent) ownLevels(now clock.Instant) []Level {
+	var out []Level
+	for _, row := range a.replica.Rows(table.BudgetPrefix) {
+		out = append(out, a.ownLevel(now, row.Budget.Account))
+	}
+	return out
+}
+
+func (a *Agent) ownLevel(now clock.Instant, account id.Account) Level {
+	level := Level{Account: account, Demand: a.demandOf(account)}
+	b := a.view.Pool.Bucket(account)
+	if b == nil {
+		return level
+	}
+	if b.Settled(now) {
+		level.Applied = a.applied[account]
+	}
+	if a.shares.Valid(now) {
+		level.Tokens = b.Level(now)
+	}
+	return level
+}
+
+// borrowAhead asks for loans for the accounts that are about to run dry.
+func (a *Agent) borrowAhead(now clock.Instant) {
+	if !a.view.Keyed.Valid(now) || a.lease.stopped != 0 {
+		return
+	}
+	for _, account := range a.view.Pool.Keys() {
+		a.borrowFor(now, account)
+	}
+}
+
+func (a *Agent) borrowFor(now clock.Instant, account id.Account) {
+	if open, ok := a.borrow.open[account]; ok {
+		if now.Sub(open.sent) < a.timing.CallTimeout/2 {
+			return
+		}
+		a.closeLoan(account)
+	}
+	demand := a.demandOf(account)
+	waiting := unit.Whole(int64(a.borrow.waiting[account]))
+	level := a.view.Pool.Bucket(account).Level(now)
+	if !a.shares.Valid(now) {
+		level = 0
+	}
+	if waiting == 0 && (demand == 0 || level >= max(unit.Over(demand, lowWater), unit.Token)) {
+		return
+	}
+	want := max(unit.Over(demand, loanCover), unit.Token) + waiting - level
+	lender, spare := a.bestLender(now, account, want)
+	if spare < unit.Token {
+		a.closeLoan(account)
+		return
+	}
+	a.borrow.nextLoan++
+	loan := a.borrow.nextLoan
+	a.borrow.open[account] = openLoan{loan: loan, lender: lender, sent: now}
+	a.send(lender, Message{Borrow: &Borrow{Loan: loan, Account: account, Amount: want}})
+}
+
+// bestLender returns the live host with the most to spare; one of the same
+// region goes first if it has enough.
+func (a *Agent) bestLender(now clock.Instant, account id.Account, want unit.Tokens) (id.Host, unit.Tokens) {
+	var best id.Host
+	var most unit.Tokens
+	bestNear := false
+	for h, p := range a.peers {
+		if p.leaving || !a.tracker.Alive(h, now) {
+			continue
+		}
+		level := p.levels[account]
+		spare := level.Tokens - unit.Over(level.Demand, reserveCover)
+		if spare < unit.Token {
+			continue
+		}
+		near := p.region == a.self.Region && spare >= want
+		better := spare > most || (spare == most && h < best)
+		if (near && !bestNear) || (near == bestNear && better) {
+			best, most, bestNear = h, spare, near
+		}
+	}
+	return best, most
+}
+
+// lend answers a Borrow out of what this host can spare.
+func (a *Agent) lend(now clock.Instant, from id.Host, ask *Borrow) {
+	reply := Loan{Loan: ask.Loan, Account: ask.Account}
+	b := a.view.Pool.Bucket(ask.Account)
+	if b != nil && a.shares.Valid(now) && a.lease.stopped == 0 {
+		keep := unit.Over(a.demandOf(ask.Account), reserveCover)
+		until := now.Add(a.timing.Loan + margin)
+		reply.Amount = b.Lend(ask.Loan, from, ask.Amount, keep, now, until)
+	}
+	a.send(from, Message{Loan: &reply})
+}
+
+func (a *Agent) receiveLoan(now clock.Instant, from id.Host, loan *Loan) {
+	open, ok := a.borrow.open[loan.Account]
+	if !ok || open.loan != loan.Loan || open.lender != from {
+		return
+	}
+	if p := a.peers[from]; p != nil {
+		level := p.levels[loan.Account]
+		level.Tokens = max(0, level.Tokens-loan.Amount)
+		if loan.Amount == 0 {
+			level.Tokens = 0
+		}
+		p.levels[loan.Account] = level
+	}
+	until := open.sent.Add(a.timing.Loan)
+	if b := a.view.Pool.Bucket(loan.Account); b != nil && loan.Amount > 0 && now <= until {
+		b.Receive(loan.Amount, now, until)
+	}
+	a.closeLoan(loan.Account)
+	if loan.Amount < unit.Token && a.borrow.waiting[loan.Account] > 0 {
+		a.borrowFor(now, loan.Account)
+	}
+}
+
+// closeLoan forgets the open loan of an account and wakes who waits for it.
+func (a *Agent) closeLoan(account id.Account) {
+	delete(a.borrow.open, account)
+	if ch := a.borrow.arrived[account]; ch != nil {
+		close(ch)
+		delete(a.borrow.arrived, account)
+	}
+}
+
+// Await registers a request that found the account's budget dry, and asks for
+// a loan at once. The channel is closed when a loan has been decided; the
+// request then tries again, and calls Resume in any case. The channel is nil
+// if no host is known to have anything to spare.
+func (a *Agent) Await(now clock.Instant, account id.Account) (<-chan struct{}, Output) {
+	if a.view.Pool.Bucket(account) == nil || !a.view.Keyed.Valid(now) {
+		return nil, a.take()
+	}
+	a.borrow.waiting[account]++
+	if _, open := a.borrow.open[account]; !open {
+		a.borrowFor(now, account)
+	}
+	if _, open := a.borrow.open[account]; !open {
+		a.Resume(account)
+		return nil, a.take()
+	}
+	ch := a.borrow.arrived[account]
+	if ch == nil {
+		ch = make(chan struct{})
+		a.borrow.arrived[account] = ch
+	}
+	return ch, a.take()
+}
+
+// Resume ends the wait of one request.
+func (a *Agent) Resume(account id.Account) {
+	if a.borrow.waiting[account] > 0 {
+		a.borrow.waiting[account]--
+	}
+}
--- /dev/null
+++ b/pkg/coordination/agent/publish.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/lookup"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+// publishInterval is the longest time between two look-up tables.
+const publishInterval = 500 * time.Millisecond
+
+// LookupKeep is how long callers may keep the answer of a look-up.
+const LookupKeep = 2 * time.Second
+
+// publish replaces the snapshots that requests read.
+func (a *Agent) publish(now clock.Instant) {
+	if until := a.tracker.KeyedUntil(now); until >= now && !a.lease.replaced {
+		a.view.Keyed.Extend(until)
+	}
+	a.noteChanges(now)
+	a.publishRing()
+	if !a.publishDue && now < a.nextPublish {
+		return
+	}
+	a.publishDue = false
+	a.nextPublish = now.Add(publishInterval)
+	a.view.Lookup.Store(lookup.New(a.lookupInputs(now)))
+}
+
+func (a *Agent) lookupInputs(now clock.Instant) lookup.Inputs {
+	in := lookup.Inputs{Holders: map[id.Account][]lookup.Holder{}, Keep: LookupKeep}
+	for _, row := range a.replica.Rows(table.HostPrefix) {
+		if !a.usable(now, row.Host) {
+			continue
+		}
+		in.Hosts = append(in.Hosts, fleet.Host{
+			ID: row.Host.ID, Region: row.Host.Region, FailureDomain: row.Host.FailureDomain, Address: row.Host.CallerAddress,
+		})
+	}
+	for _, row := range a.replica.Rows(table.BudgetPrefix) {
+		for _, g := range row.Budget.Grants {
+			in.Holders[row.Budget.Account] = append(in.Holders[row.Budget.Account], lookup.Holder{Host: g.Host, Weight: int64(g.Share.Rate)})
+		}
+	}
+	return in
+}
+
+// usable tells whether look-ups may name a host.
+func (a *Agent) usable(now clock.Instant, h *table.Host) bool {
+	if h.State != table.HostServing {
+		return false
+	}
+	if h.ID == a.self.Host {
+		return a.lease.state == table.HostServing && a.lease.stopped == 0
+	}
+	p := a.peers[h.ID]
+	return p != nil && !p.leaving && a.tracker.Alive(h.ID, now)
+}
+
+// HostStatus is what this host knows of another one.
+type HostStatus struct {
+	Row      table.Host
+	Alive    bool
+	Leaving  bool
+	Complete table.Revision
+	Config   table.Revision
+	HeardAge time.Duration
+}
+
+// Hosts reports on all hosts with a row, this one included.
+func (a *Agent) Hosts(now clock.Instant) []HostStatus {
+	var out []HostStatus
+	for _, row := range a.replica.Rows(table.HostPrefix) {
+		s := HostStatus{Row: *row.Host, Alive: a.tracker.Alive(row.Host.ID, now)}
+		if row.Host.ID == a.self.Host {
+			s.Complete, s.Config = a.replica.Complete(), a.replica.Revision(table.ConfigKey)
+			s.Leaving = a.lease.state != table.HostServing
+		}
+		if p := a.peers[row.Host.ID]; p != nil {
+			s.Complete, s.Config, s.Leaving = p.complete, p.config, p.leaving
+			s.HeardAge, _ = a.tracker.HeardAge(row.Host.ID, now)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Status is what the host knows of itself.
+type Status struct {
+	Self       Identity
+	Complete   table.Revision
+	ReadAge    Age
+	Keyed      bool
+	Controller bool
+	Leased     bool
+}
+
+// Status reports on this host.
+func (a *Agent) Status(now clock.Instant) Status {
+	return Status{
+		Self: a.self, Complete: a.replica.Complete(), ReadAge: ageOf(now)(a.tracker.ReadAt()),
+		Keyed: a.view.Keyed.Valid(now), Controller: a.control.holding, Leased: a.shares.Valid(now),
+	}
+}
--- /dev/null
+++ b/pkg/coordination/agent/rows.go
@@ -0,0 +1,173 @@
+package agent
+
+import (
+	"errors"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/budget"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/timeline"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// relayedLimit is the age of relayed knowledge from which a host reads the table itself.
+const relayedLimit = 1200 * time.Millisecond
+
+// readTable polls the table if this host is a reader. One host in each failure
+// domain is, and so is the holder of the control lease; others step in when
+// what is relayed to them grows old.
+func (a *Agent) readTable(now clock.Instant) {
+	if a.reading || now < a.nextRead {
+		return
+	}
+	if !a.isReader(now) && a.tracker.ReadAge(now) < relayedLimit {
+		return
+	}
+	a.reading = true
+	after := a.replica.Complete()
+	a.call(Call{Read: &ReadChanges{After: after}}, func(done clock.Instant, answer Answer) {
+		a.reading = false
+		a.nextRead = max(now.Add(a.timing.Poll), done)
+		if answer.Err != nil {
+			a.nextRead = done.Add(a.timing.Poll)
+			return
+		}
+		a.tracker.Read(now)
+		a.applyChanges(done, answer.Changes)
+	})
+}
+
+// isReader tells whether this host is the first live one of its failure
+// domain, or holds the control lease.
+func (a *Agent) isReader(now clock.Instant) bool {
+	if a.control.holding || a.replica.Complete() == 0 {
+		return true
+	}
+	for h, p := range a.peers {
+		if p.failureDomain != a.self.FailureDomain || p.leaving {
+			continue
+		}
+		if h < a.self.Host && a.tracker.Alive(h, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// applyChanges merges changes and puts what is new in force.
+func (a *Agent) applyChanges(now clock.Instant, c table.Changes) {
+	before := a.replica.Complete()
+	fresh := a.replica.Apply(c)
+	for _, row := range fresh {
+		a.applyRow(now, row)
+	}
+	if len(fresh) > 0 {
+		a.relay(table.Changes{After: before, Revision: a.replica.Complete(), Rows: fresh})
+	}
+	if before == 0 && a.replica.Complete() > 0 {
+		a.publishDue = true
+	}
+}
+
+// relay passes changes on to the other hosts of the failure domain.
+func (a *Agent) relay(c table.Changes) {
+	for h, p := range a.peers {
+		if p.failureDomain == a.self.FailureDomain && p.complete < c.Revision {
+			a.send(h, Message{Relay: &Relay{Changes: c}})
+		}
+	}
+}
+
+// applyRow puts one new row in force.
+func (a *Agent) applyRow(now clock.Instant, row table.Row) {
+	switch {
+	case row.Key.Has(table.HostPrefix):
+		a.applyHosts()
+		a.observeOwnRow(now, row)
+	case row.Key.Has(table.BudgetPrefix):
+		a.applyBudget(now, row)
+	case row.Key == table.ConfigKey:
+		a.applyConfig(now, row)
+	case row.Key.Has(table.KeyPrefix):
+		a.marks.dirty = true
+	case row.Key == table.ControlKey:
+		a.observeControl(now, row)
+	}
+}
+
+func (a *Agent) applyHosts() {
+	members := map[id.Host]id.Incarnation{}
+	for _, row := range a.replica.Rows(table.HostPrefix) {
+		if row.Host != nil && row.Host.State != table.HostEnded {
+			members[row.Host.ID] = row.Host.Incarnation
+		}
+	}
+	a.tracker.SetMembers(members)
+	a.publishDue = true
+}
+
+// applyBudget takes the share that a committed row grants to this incarnation.
+func (a *Agent) applyBudget(now clock.Instant, row table.Row) {
+	if row.Budget == nil {
+		return
+	}
+	share := budget.Share[unit.Tokens]{}
+	for _, g := range row.Budget.Grants {
+		if g.Host == a.self.Host && g.Incarnation == a.self.Incarnation {
+			share = budget.Share[unit.Tokens](g.Share)
+		}
+	}
+	a.view.Pool.Set(row.Budget.Account, share, now)
+	a.applied[row.Budget.Account] = row.Revision
+	a.publishDue = true
+}
+
+// dropShares gives up all shares, for an incarnation that no longer has any.
+func (a *Agent) dropShares(now clock.Instant) {
+	a.shares.Revoke()
+	for _, account := range a.view.Pool.Keys() {
+		a.view.Pool.Set(account, budget.Share[unit.Tokens]{}, now)
+	}
+}
+
+func (a *Agent) applyConfig(now clock.Instant, row table.Row) {
+	if row.Config == nil {
+		return
+	}
+	a.view.Config.Store(config.Compile(*row.Config))
+	for _, account := range row.Config.Accounts {
+		if a.view.Pool.Bucket(account.ID) == nil {
+			a.view.Pool.Set(account.ID, budget.Share[unit.Tokens]{}, now)
+		}
+	}
+	a.publishDue = true
+	a.record(timeline.ConfigInForce, "config", "committed row of a higher revision")
+}
+
+// Config returns the configuration in force and its revision.
+func (a *Agent) Config() (config.Config, table.Revision) {
+	row, ok := a.replica.Row(table.ConfigKey)
+	if !ok {
+		return config.Config{}, 0
+	}
+	return *row.Config, row.Revision
+}
+
+// Rows returns the known rows of one kind.
+func (a *Agent) Rows(prefix table.Key) []table.Row { return a.replica.Rows(prefix) }
+
+// conflicted takes over the rows that a conflict returned.
+func (a *Agent) conflicted(now clock.Instant, answer Answer) bool {
+	if !errors.Is(answer.Err, table.ErrConflict) {
+		return false
+	}
+	for _, row := range answer.Rows {
+		if a.replica.Put(row) {
+			a.applyRow(now, row)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/coordination/budget/lease.go
@@ -0,0 +1,31 @@
+package budget
+
+import (
+	"sync/atomic"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+)
+
+// Lease bounds the time until which a pool may be spent from. It is read at
+// every spend, so a process that wakes from a pause finds it expired before
+// its first spend. The zero Lease has expired.
+type Lease struct{ until atomic.Int64 }
+
+// Extend moves the end of the lease to until; it never moves it back.
+func (l *Lease) Extend(until clock.Instant) {
+	for {
+		old := l.until.Load()
+		if int64(until) <= old || l.until.CompareAndSwap(old, int64(until)) {
+			return
+		}
+	}
+}
+
+// Revoke ends the lease at once.
+func (l *Lease) Revoke() { l.until.Store(0) }
+
+// Valid tells whether the lease covers now.
+func (l *Lease) Valid(now clock.Instant) bool { return int64(now) <= l.until.Load() }
+
+// Until returns the end of the lease.
+func (l *Lease) Until() clock.Instant { return clock.Instant(l.until.Load()) }
--- /dev/null
+++ b/pkg/coordination/budget/ledger.go
@@ -0,0 +1,219 @@
+package budget
+
+import (
+	"cmp"
+	"slices"
+
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// Grant is the part of a budget that one host incarnation has. Share is what
+// it should use, Held the most it may still be using; Share never exceeds Held.
+type Grant[U unit.Amount] struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+	Share       Share[U]
+	Held        Share[U]
+}
+
+// Division is how a budget's total is divided. The sum of Held never exceeds
+// Total, except while a lowered Total waits for its holders' confirmation.
+type Division[U unit.Amount] struct {
+	Total  Share[U]
+	Grants []Grant[U]
+}
+
+// Standing is what the controller knows of one host and one budget.
+type Standing[U unit.Amount] struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+	// Demand is what the host's callers ask for, per second.
+	Demand U
+	// Confirmed tells that the host uses no more than the Share of the division at hand.
+	Confirmed bool
+	// Eligible tells that the host may be given a share.
+	Eligible bool
+}
+
+// Policy decides how a total is best divided among eligible hosts.
+type Policy[U unit.Amount] interface {
+	// Divide returns one share per standing, in the same order; the sum is at most total.
+	Divide(total Share[U], hosts []Standing[U]) []Share[U]
+}
+
+// Ended tells whether an incarnation is proven to spend no more.
+type Ended func(id.Host, id.Incarnation) bool
+
+// Ledger plans the moves of one kind of budget. It keeps no state: all that a
+// successor needs is in the division.
+type Ledger[U unit.Amount, P Policy[U]] struct {
+	policy P
+	// slack is the least change, as a fraction of the total, that is worth a move.
+	slack int64
+}
+
+// moveSlack is the inverse of the least change that is worth a move.
+const moveSlack = 50
+
+// NewLedger returns a ledger that divides by policy.
+func NewLedger[U unit.Amount, P Policy[U]](policy P) *Ledger[U, P] {
+	return &Ledger[U, P]{policy: policy, slack: moveSlack}
+}
+
+// Plan returns the next division and whether it differs from d.
+//
+// Each step takes before it gives: grants of ended incarnations are dropped,
+// confirmed reductions become free, and only what is free is given out. A
+// reduction that no one confirmed stays counted as held.
+func (l *Ledger[U, P]) Plan(d Division[U], total Share[U], hosts []Standing[U], ended Ended) (Division[U], bool) {
+	next := Division[U]{Total: total, Grants: slices.Clone(d.Grants)}
+	next.Grants = slices.DeleteFunc(next.Grants, func(g Grant[U]) bool { return ended(g.Host, g.Incarnation) })
+	pending := confirm(next.Grants, hosts)
+	if !pending {
+		l.redivide(&next, hosts)
+	}
+	l.giveFree(&next, hosts)
+	slices.SortFunc(next.Grants, compareGrants[U])
+	return next, !equal(d, next)
+}
+
+// confirm frees what holders have given up and tells whether any reduction is still open.
+func confirm[U unit.Amount](grants []Grant[U], hosts []Standing[U]) bool {
+	pending := false
+	for i := range grants {
+		g := &grants[i]
+		if g.Share == g.Held {
+			continue
+		}
+		if standing := find(hosts, g.Host, g.Incarnation); standing != nil && standing.Confirmed {
+			g.Held = g.Share
+			continue
+		}
+		pending = true
+	}
+	return pending
+}
+
+// redivide lowers the shares of hosts that have more than the policy gives them.
+func (l *Ledger[U, P]) redivide(d *Division[U], hosts []Standing[U]) {
+	eligible := eligibleOf(hosts)
+	want := l.policy.Divide(d.Total, eligible)
+	if !l.worthMoving(d, eligible, want) {
+		return
+	}
+	for i := range d.Grants {
+		g := &d.Grants[i]
+		target := Share[U]{}
+		for j, s := range eligible {
+			if s.Host == g.Host && s.Incarnation == g.Incarnation {
+				target = want[j]
+			}
+		}
+		g.Share = Share[U]{Rate: min(g.Share.Rate, target.Rate), Burst: min(g.Share.Burst, target.Burst)}
+	}
+}
+
+func (l *Ledger[U, P]) worthMoving(d *Division[U], eligible []Standing[U], want []Share[U]) bool {
+	held := Sum(d.Grants)
+	if held.Rate > d.Total.Rate || held.Burst > d.Total.Burst {
+		return true
+	}
+	for j, s := range eligible {
+		have := Share[U]{}
+		if g := grantOf(d.Grants, s.Host, s.Incarnation); g != nil {
+			have = g.Share
+		}
+		if abs(want[j].Rate-have.Rate) > d.Total.Rate/U(l.slack) || abs(want[j].Burst-have.Burst) > d.Total.Burst/U(l.slack) {
+			return true
+		}
+	}
+	return false
+}
+
+// giveFree raises shares towards the policy's division out of what nobody holds.
+func (l *Ledger[U, P]) giveFree(d *Division[U], hosts []Standing[U]) {
+	held := Sum(d.Grants)
+	free := Share[U]{Rate: d.Total.Rate - held.Rate, Burst: d.Total.Burst - held.Burst}
+	if free.Rate <= 0 && free.Burst <= 0 {
+		return
+	}
+	eligible := eligibleOf(hosts)
+	want := l.policy.Divide(d.Total, eligible)
+	for j, s := range eligible {
+		g := grantOf(d.Grants, s.Host, s.Incarnation)
+		if g == nil {
+			if want[j] == (Share[U]{}) {
+				continue
+			}
+			d.Grants = append(d.Grants, Grant[U]{Host: s.Host, Incarnation: s.Incarnation})
+			g = &d.Grants[len(d.Grants)-1]
+		}
+		if g.Share != g.Held {
+			continue
+		}
+		rate := max(0, min(want[j].Rate-g.Share.Rate, free.Rate))
+		burst := max(0, min(want[j].Burst-g.Share.Burst, free.Burst))
+		g.Share = Share[U]{Rate: g.Share.Rate + rate, Burst: g.Share.Burst + burst}
+		g.Held = g.Share
+		free.Rate -= rate
+		free.Burst -= burst
+	}
+	d.Grants = slices.DeleteFunc(d.Grants, func(g Grant[U]) bool { return g.Held == Share[U]{} })
+}
+
+// Sum returns the sum of what the grants may be using.
+func Sum[U unit.Amount](grants []Grant[U]) Share[U] {
+	var sum Share[U]
+	for _, g := range grants {
+		sum.Rate += g.Held.Rate
+		sum.Burst += g.Held.Burst
+	}
+	return sum
+}
+
+func eligibleOf[U unit.Amount](hosts []Standing[U]) []Standing[U] {
+	out := make([]Standing[U], 0, len(hosts))
+	for _, h := range hosts {
+		if h.Eligible {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func find[U unit.Amount](hosts []Standing[U], h id.Host, i id.Incarnation) *Standing[U] {
+	for j := range hosts {
+		if hosts[j].Host == h && hosts[j].Incarnation == i {
+			return &hosts[j]
+		}
+	}
+	return nil
+}
+
+func grantOf[U unit.Amount](grants []Grant[U], h id.Host, i id.Incarnation) *Grant[U] {
+	for j := range grants {
+		if grants[j].Host == h && grants[j].Incarnation == i {
+			return &grants[j]
+		}
+	}
+	return nil
+}
+
+func compareGrants[U unit.Amount](a, b Grant[U]) int {
+	if c := cmp.Compare(a.Host, b.Host); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Incarnation, b.Incarnation)
+}
+
+func equal[U unit.Amount](a, b Division[U]) bool {
+	return a.Total == b.Total && slices.Equal(a.Grants, b.Grants)
+}
+
+func abs[U unit.Amount](a U) U {
+	if a < 0 {
+		return -a
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/coordination/pick/pick.go
@@ -0,0 +1,237 @@
+// Package pick chooses the upstream that a request is sent to.
+package pick
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/rcu"
+)
+
+// Worker is one upstream with what this host knows of it. The counts outlive
+// the snapshots that list the worker.
+type Worker struct {
+	Info fleet.Upstream
+
+	inFlight atomic.Int64
+	// reported is the load that the upstream last reported, in slots.
+	reported   atomic.Int64
+	reportedAt atomic.Int64
+	// avoidUntil is the instant until which the worker gets no work, because it
+	// shed load or failed.
+	avoidUntil atomic.Int64
+	// failures counts failures since the last success.
+	failures atomic.Int64
+	draining atomic.Bool
+}
+
+// Report records a load report of the upstream.
+func (w *Worker) Report(busy int, draining bool, now clock.Instant) {
+	w.reported.Store(int64(busy))
+	w.reportedAt.Store(int64(now))
+	if draining {
+		w.draining.Store(true)
+	}
+}
+
+// Draining records that the upstream said it is leaving. It never returns.
+func (w *Worker) Draining() { w.draining.Store(true) }
+
+// Shed records that the upstream refused work and asked for a pause.
+func (w *Worker) Shed(pause time.Duration, now clock.Instant) { w.avoid(now.Add(pause)) }
+
+// failurePause is the first pause after a failure; it doubles with each further one.
+const failurePause = 100 * time.Millisecond
+
+// maxDoublings bounds the pause after many failures.
+const maxDoublings = 6
+
+// Failed records that a request failed, whatever the upstream's health says.
+func (w *Worker) Failed(now clock.Instant) {
+	n := min(w.failures.Add(1)-1, maxDoublings)
+	w.avoid(now.Add(failurePause << n))
+}
+
+// Succeeded records that a request was answered.
+func (w *Worker) Succeeded() {
+	if w.failures.Load() != 0 {
+		w.failures.Store(0)
+	}
+}
+
+func (w *Worker) avoid(until clock.Instant) {
+	for {
+		old := w.avoidUntil.Load()
+		if int64(until) <= old || w.avoidUntil.CompareAndSwap(old, int64(until)) {
+			return
+		}
+	}
+}
+
+// Done gives the slot back that Pick has taken.
+func (w *Worker) Done() { w.inFlight.Add(-1) }
+
+// InFlight returns the requests that this host has at the upstream.
+func (w *Worker) InFlight() int64 { return w.inFlight.Load() }
+
+// Usable tells whether the worker may be given new work.
+func (w *Worker) Usable(now clock.Instant) bool {
+	return !w.draining.Load() && w.Info.State == fleet.UpstreamLive && int64(now) >= w.avoidUntil.Load()
+}
+
+// claim takes a slot if this host has one left.
+func (w *Worker) claim() bool {
+	for {
+		have := w.inFlight.Load()
+		if have >= int64(w.Info.Slots) {
+			return false
+		}
+		if w.inFlight.CompareAndSwap(have, have+1) {
+			return true
+		}
+	}
+}
+
+// reportLimit is the age from which a load report says nothing.
+const reportLimit = 3 * time.Second
+
+// load estimates the used part of the worker's slots, in thousandths.
+func (w *Worker) load(now clock.Instant) int64 {
+	busy := w.inFlight.Load()
+	age := now.Sub(clock.Instant(w.reportedAt.Load()))
+	if age < reportLimit {
+		busy = max(busy, w.reported.Load())
+	}
+	return busy * 1000 / int64(max(w.Info.Slots, 1))
+}
+
+// Picker holds the workers of all services. The snapshot is replaced whole.
+type Picker struct {
+	services *rcu.Cell[map[id.Service]*pool]
+}
+
+// pool lists a service's workers, by region.
+type pool struct {
+	all     []*Worker
+	regions map[id.Region][]*Worker
+}
+
+// New returns a picker without workers.
+func New() *Picker { return &Picker{services: rcu.New(map[id.Service]*pool{})} }
+
+// Update replaces the list of upstreams; counts of those that stay are kept.
+func (p *Picker) Update(list []fleet.Upstream) {
+	p.services.Update(func(old map[id.Service]*pool) map[id.Service]*pool {
+		known := map[id.Upstream]*Worker{}
+		for _, service := range old {
+			for _, w := range service.all {
+				known[w.Info.ID] = w
+			}
+		}
+		next := map[id.Service]*pool{}
+		for _, info := range list {
+			s := next[info.Service]
+			if s == nil {
+				s = &pool{regions: map[id.Region][]*Worker{}}
+				next[info.Service] = s
+			}
+			w := keep(known[info.ID], info)
+			s.all = append(s.all, w)
+			s.regions[info.Region] = append(s.regions[info.Region], w)
+		}
+		return next
+	})
+}
+
+// keep returns the known worker, or a new one if the upstream is another than before.
+func keep(w *Worker, info fleet.Upstream) *Worker {
+	if w == nil || w.Info.Address != info.Address || w.Info.Release != info.Release {
+		return &Worker{Info: info}
+	}
+	if w.Info.State == info.State && w.Info.Slots == info.Slots {
+		return w
+	}
+	next := &Worker{Info: info}
+	next.inFlight.Store(w.inFlight.Load())
+	next.reported.Store(w.reported.Load())
+	next.reportedAt.Store(w.reportedAt.Load())
+	next.avoidUntil.Store(w.avoidUntil.Load())
+	next.failures.Store(w.failures.Load())
+	next.draining.Store(w.draining.Load())
+	return next
+}
+
+// Workers returns all workers of all services.
+func (p *Picker) Workers() []*Worker {
+	var out []*Worker
+	for _, s := range *p.services.Load() {
+		out = append(out, s.all...)
+	}
+	return out
+}
+
+// Verdict tells why no worker was picked.
+type Verdict int
+
+// Verdicts of Pick.
+const (
+	Picked Verdict = iota
+	// Busy means that workers exist, but none has a free slot or accepts work now.
+	Busy
+	// Gone means that the service has no worker.
+	Gone
+)
+
+// Pick takes a slot of a worker: of two random ones in the region the less
+// loaded, or any that accepts work. Not lists workers that the request has
+// tried already. The caller must call Done on the worker.
+func (p *Picker) Pick(service id.Service, region id.Region, not []*Worker, now clock.Instant) (*Worker, Verdict) {
+	s := (*p.services.Load())[service]
+	if s == nil || len(s.all) == 0 {
+		return nil, Gone
+	}
+	if w := pickFrom(s.regions[region], not, now); w != nil {
+		return w, Picked
+	}
+	if w := pickFrom(s.all, not, now); w != nil {
+		return w, Picked
+	}
+	return nil, Busy
+}
+
+func pickFrom(workers []*Worker, not []*Worker, now clock.Instant) *Worker {
+	n := len(workers)
+	if n == 0 {
+		return nil
+	}
+	first, second := workers[rand.IntN(n)], workers[rand.IntN(n)]
+	if second.load(now) < first.load(now) {
+		first, second = second, first
+	}
+	if accepts(first, not, now) {
+		return first
+	}
+	if accepts(second, not, now) {
+		return second
+	}
+	start := rand.IntN(n)
+	for i := range n {
+		if w := workers[(start+i)%n]; accepts(w, not, now) {
+			return w
+		}
+	}
+	return nil
+}
+
+func accepts(w *Worker, not []*Worker, now clock.Instant) bool {
+	for _, tried := range not {
+		if tried == w {
+			return false
+		}
+	}
+	return w.Usable(now) && w.claim()
+}
--- /dev/null
+++ b/pkg/state/clock/clock_other.go
@@ -0,0 +1,5 @@
+//go:build !linux
+
+package clock
+
+func bootTime() Instant { return fallbackTime() }
--- /dev/null
+++ b/pkg/state/config/compiled.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/block"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// Target is a route joined with its class, ready for the path of a request.
+type Target struct {
+	Route      id.Route
+	Service    id.Service
+	Prefix     string
+	Deadline   time.Duration
+	Idempotent bool
+	Open       bool
+	MaxBody    int64
+}
+
+// Compiled is the immutable form of a Config that requests are matched against.
+type Compiled struct {
+	targets  []Target
+	services map[id.Service]bool
+	blocks   block.Table
+}
+
+// Compile joins routes and classes. The longest path prefix is matched first.
+func Compile(c Config) Compiled {
+	classes := make(map[string]Class, len(c.Classes))
+	for _, cl := range c.Classes {
+		classes[cl.ID] = cl
+	}
+	out := Compiled{services: map[id.Service]bool{}, blocks: block.New(c.ClientBlocks)}
+	for _, r := range c.Routes {
+		cl := classes[r.Class]
+		out.services[r.Service] = true
+		out.targets = append(out.targets, Target{
+			Route: r.ID, Service: r.Service, Prefix: r.PathPrefix, Open: r.Open,
+			Deadline: cl.Deadline.Std(), Idempotent: cl.Idempotent, MaxBody: cl.MaxBody,
+		})
+	}
+	sort.SliceStable(out.targets, func(i, j int) bool {
+		return len(out.targets[i].Prefix) > len(out.targets[j].Prefix)
+	})
+	return out
+}
+
+// Match returns the target of path.
+func (c *Compiled) Match(path string) (*Target, bool) {
+	for i := range c.targets {
+		if strings.HasPrefix(path, c.targets[i].Prefix) {
+			return &c.targets[i], true
+		}
+	}
+	return nil, false
+}
+
+// Serves tells whether a route leads to the service.
+func (c *Compiled) Serves(s id.Service) bool { return c.services[s] }
+
+// Blocks returns the table of client blocks.
+func (c *Compiled) Blocks() block.Table { return c.blocks }
--- /dev/null
+++ b/scripts/smoke.sh
@@ -0,0 +1,22 @@
+#!/bin/bash
+# One look-up, one read, one swap and its repeat, through a deployment that
+# scripts/up.sh has brought up.
+set -euo pipefail
+sleep 3
+auth="Authorization: Bearer $CELERYPIN_KEY"
+echo "look-up:"
+curl -sS -H "$auth" "http://$CELERYPIN_HOST/celerypin/v1/lookup?region=western"
+echo
+echo "read:"
+curl -sS --fail-with-body -H "$auth" -H "Echo-Mark: a" "http://$CELERYPIN_HOST/rota/sunday"
+echo
+echo "swap, and the same swap again at another host:"
+curl -sS --fail-with-body -H "$auth" -H "Request-Id: swap-1" -X POST -d 'vases' "http://$CELERYPIN_HOST/swap/1"
+echo
+curl -sS --fail-with-body -i -H "$auth" -H "Request-Id: swap-1" -X POST -d 'vases' "http://${CELERYPIN_HOSTS##* }/swap/1"
+echo
+echo "without a key:"
+curl -sS -i "http://$CELERYPIN_HOST/rota/sunday"
+"$CELERYPIN" hosts list
+"$CELERYPIN" hosts budgets | head -5
+"$CELERYPIN" timeline | tail -5
