Make the token bucket exact: no credit for time during which it was full

Cause: the bucket was refilled only when a spend found it too low, so the time between the last refill and the next spend, during which it was full, was credited afterwards. Ruled out: loans and moves of shares; the table had one grant and no loans. Change: the bucket's only variable is now the instant at which it is full. Also: a look-up with a key answered an empty body (a typed nil was compared with errors.Is); the test of the layers; the fleet of the property test.

--- /dev/null
+++ b/internal/layers/layers_test.go
@@ -0,0 +1,96 @@
+package layers
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const module = "celerypin.example/celerypin/"
+
+// TestImportsPointDown fails when a package imports one of a higher layer, or
+// when a decision knows an encoding or a socket.
+func TestImportsPointDown(t *testing.T) {
+	root := filepath.Join("..", "..")
+	checked := 0
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		for _, imported := range importsOf(t, path) {
+			if fault := faultOf(filepath.ToSlash(filepath.Dir(rel)), imported); fault != "" {
+				t.Errorf("%s: %s", rel, fault)
+			}
+		}
+		checked++
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if checked < 20 {
+		t.Fatalf("got %d files checked, want the whole tree", checked)
+	}
+}
+
+// TestFaultsAreSeen shows that the check above can fail.
+func TestFaultsAreSeen(t *testing.T) {
+	cases := []struct {
+		name, dir, imported string
+		want                bool
+	}{
+		{"state imports coordination", "pkg/state/id", module + "pkg/coordination/budget", true},
+		{"coordination imports protocol", "pkg/coordination/agent", module + "internal/protocol/host", true},
+		{"protocol imports transport", "internal/protocol/host", module + "internal/transport/host", true},
+		{"transport imports daemon", "internal/transport/host", module + "internal/daemon", true},
+		{"decision knows an encoding", "pkg/coordination/agent", "encoding/json", true},
+		{"decision knows a socket", "pkg/coordination/agent", "net", true},
+		{"folder without a layer", "internal/misc", module + "pkg/state/id", true},
+		{"transport imports protocol", "internal/transport/host", module + "internal/protocol/host", false},
+		{"coordination imports state", "pkg/coordination/agent", module + "pkg/state/id", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := faultOf(c.dir, c.imported) != ""; got != c.want {
+				t.Errorf("got fault %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func faultOf(dir, imported string) string {
+	from := Of(dir + "/")
+	target, own := strings.CutPrefix(imported, module)
+	switch {
+	case own && !MayImport(from, Of(target+"/")):
+		return "must not import " + target
+	case !own && from <= Coordination && BannedBelow(imported):
+		return "state and coordination must not import " + imported
+	}
+	return ""
+}
+
+func importsOf(t *testing.T, path string) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, spec := range file.Imports {
+		imported, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, imported)
+	}
+	return out
+}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"hash/maphash"
 	"net"
 	"net/http"
@@ -126,7 +125,7 @@
 	}
 	request := admit.Request{HasKey: true, Hash: s.Hasher.Hash(clear)}
 	account, refusal := s.Gate.Authenticate(&request, s.Clock.Now())
-	if errors.Is(refusal, admit.ErrKeyRejected) && refusal != nil {
+	if refusal != nil && refusal.Reason == admit.KeyRejected {
 		return "", refusal
 	}
 	return account, nil
--- a/pkg/coordination/agent/borrow.go
+++ b/pkg/coordination/agent/borrow.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -61,6 +62,7 @@
 
 func (a *Agent) measureDemand(now clock.Instant) {
 	for _, account := range a.view.Pool.Keys() {
+		a.view.Pool.Bucket(account).Reclaim(now)
 		m := a.demand[account]
 		if m == nil {
 			a.demand[account] = &demandMeter{at: now}
@@ -109,7 +111,7 @@
 	if !a.view.Keyed.Valid(now) || a.lease.stopped != 0 {
 		return
 	}
-	for _, account := range a.view.Pool.Keys() {
+	for _, account := range slices.Sorted(slices.Values(a.view.Pool.Keys())) {
 		a.borrowFor(now, account)
 	}
 }
--- /dev/null
+++ b/pkg/coordination/agent/fleet_test.go
@@ -0,0 +1,448 @@
+package agent
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/budget"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/timeline"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// simFleet drives real agents over fake links, a fake table and a fake clock. It
+// has no threads: whatever happens is an event at an instant, and equal seeds
+// give equal runs.
+type simFleet struct {
+	now    clock.Instant
+	events eventQueue
+	serial int
+	rng    *rand.Rand
+	delays delays
+	timing Timing
+	policy PolicyFor
+
+	table    *table.Memory
+	store    storeFault
+	hosts    []*simHost
+	admitted map[id.Account][]admission
+	bytes    int
+	messages int
+	// ungated makes hosts spend whether or not they may serve keyed requests, to
+	// test budgets on their own.
+	ungated bool
+	// linkFault is applied to every message between hosts.
+	linkFault linkFault
+}
+
+// admission is one admitted request.
+type admission struct {
+	at   clock.Instant
+	host id.Host
+}
+
+// delays are the one-way delays of a deployment.
+type delays struct {
+	domain, region time.Duration
+	storeRegion    id.Region
+}
+
+var pushpaDelays = delays{domain: 500 * time.Microsecond, region: 12 * time.Millisecond, storeRegion: "r0"}
+var hangRaoDelays = delays{domain: 500 * time.Microsecond, region: 55 * time.Millisecond, storeRegion: "r0"}
+
+type storeMode int
+
+const (
+	storeUp storeMode = iota
+	storeOut
+	storeSilent
+	storeSlow
+)
+
+type storeFault struct {
+	mode storeMode
+	// loseAnswers is the percentage of answers that are lost after the call took effect.
+	loseAnswers int
+}
+
+type linkFault struct{ lose, double, late int }
+
+// simHost is one host slot with its current process.
+type simHost struct {
+	id     id.Host
+	region id.Region
+	domain id.FailureDomain
+	// offset makes the clocks of hosts incomparable.
+	offset   clock.Instant
+	agent    *Agent
+	life     int
+	dead     bool
+	frozen   bool
+	cutStore bool
+	cutFrom  map[id.Host]bool
+	waiting  []*simRequest
+	held     []func()
+	log      []string
+}
+
+// simRequest is a request that waits for a loan.
+type simRequest struct {
+	account id.Account
+	until   clock.Instant
+	ch      <-chan struct{}
+	done    func(admitted bool)
+}
+
+type event struct {
+	at     clock.Instant
+	serial int
+	act    func()
+}
+
+type eventQueue []*event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if c := cmp.Compare(q[i].at, q[j].at); c != 0 {
+		return c < 0
+	}
+	return q[i].serial < q[j].serial
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(*event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// newFleet starts hosts in regions r0, r1, ... with two failure domains each.
+func newFleet(seed uint64, regions, hostsPerRegion int, d delays, policy PolicyFor, accounts []config.Account) *simFleet {
+	f := &simFleet{
+		now: clock.Instant(time.Hour), rng: rand.New(rand.NewPCG(seed, seed)), delays: d, timing: DefaultTiming(),
+		policy: policy, table: table.NewMemory(), admitted: map[id.Account][]admission{},
+	}
+	for r := range regions {
+		for n := range hostsPerRegion {
+			region := id.Region(fmt.Sprintf("r%d", r))
+			f.hosts = append(f.hosts, &simHost{
+				id: id.Host(fmt.Sprintf("h%d%d", r, n)), region: region,
+				domain: id.FailureDomain(fmt.Sprintf("%s-%d", region, n%2)),
+				offset: clock.Instant(f.rng.Int64N(int64(time.Hour))), cutFrom: map[id.Host]bool{},
+			})
+		}
+	}
+	f.applyConfig(accounts)
+	for _, h := range f.hosts {
+		f.start(h)
+	}
+	return f
+}
+
+func (f *simFleet) applyConfig(accounts []config.Account) {
+	cfg := config.Config{Accounts: accounts}
+	_, _ = f.table.Commit(context.Background(), table.Txn{Operation: "config", Puts: []table.Row{{Key: table.ConfigKey, Config: &cfg}}})
+}
+
+// start begins a new process life in a host's slot.
+func (f *simFleet) start(h *simHost) {
+	h.life++
+	h.dead, h.frozen, h.held, h.waiting = false, false, nil, nil
+	self := Identity{Host: h.id, Incarnation: id.Incarnation(h.life * 10), Region: h.region, FailureDomain: h.domain}
+	h.agent = New(self, f.timing, f.policy, func(kind timeline.Kind, subject, reason string) {
+		h.log = append(h.log, fmt.Sprintf("%v %s %s %s: %s", time.Duration(f.now-clock.Instant(time.Hour)), h.id, kind, subject, reason))
+	})
+	for _, other := range f.hosts {
+		h.agent.Meet(other.id)
+	}
+	f.tick(h, h.life)
+}
+
+func (f *simFleet) local(h *simHost) clock.Instant { return f.now + h.offset }
+
+func (f *simFleet) at(d time.Duration, act func()) {
+	f.serial++
+	heap.Push(&f.events, &event{at: f.now.Add(d), serial: f.serial, act: act})
+}
+
+// onHost runs act on a process life of a host; a frozen process gets to it when it wakes.
+func (f *simFleet) onHost(h *simHost, life int, act func()) {
+	switch {
+	case h.life != life || h.dead:
+	case h.frozen:
+		h.held = append(h.held, act)
+	default:
+		act()
+	}
+}
+
+const simTick = 50 * time.Millisecond
+
+func (f *simFleet) tick(h *simHost, life int) {
+	f.at(simTick, func() {
+		f.onHost(h, life, func() {
+			f.carryOut(h, h.agent.Tick(f.local(h)))
+			f.tick(h, life)
+		})
+	})
+}
+
+// carryOut does what an agent wants done, subject to the faults.
+func (f *simFleet) carryOut(h *simHost, out Output) {
+	for _, s := range out.Sends {
+		f.sendMessage(h, s)
+	}
+	for _, c := range out.Calls {
+		f.callStore(h, c)
+	}
+	f.wakeWaiting(h)
+}
+
+func (f *simFleet) sendMessage(from *simHost, s Send) {
+	to := f.host(s.To)
+	f.messages++
+	if to == nil || from.cutFrom[to.id] || to.cutFrom[from.id] || f.percent(f.linkFault.lose) {
+		return
+	}
+	times := 1
+	if f.percent(f.linkFault.double) {
+		times = 2
+	}
+	for range times {
+		delay := f.delay(from.region, to.region)
+		if f.percent(f.linkFault.late) {
+			delay += time.Duration(f.rng.Int64N(int64(5 * time.Second)))
+		}
+		life, sender := to.life, from.id
+		f.at(delay, func() {
+			f.onHost(to, life, func() { f.carryOut(to, to.agent.Receive(f.local(to), sender, s.Message)) })
+		})
+	}
+}
+
+func (f *simFleet) delay(a, b id.Region) time.Duration {
+	if a == b {
+		return f.delays.domain
+	}
+	return f.delays.region
+}
+
+// callStore carries a call to the table and the answer back.
+func (f *simFleet) callStore(h *simHost, c Call) {
+	life := h.life
+	way := f.delay(h.region, f.delays.storeRegion)
+	answered := false
+	answer := func(a Answer) {
+		a.ID = c.ID
+		if !answered {
+			answered = true
+			f.carryOut(h, h.agent.Answered(f.local(h), a))
+		}
+	}
+	f.at(f.timing.CallTimeout, func() {
+		f.onHost(h, life, func() { answer(Answer{Err: table.ErrUnavailable}) })
+	})
+	if h.cutStore || f.store.mode == storeSilent {
+		return
+	}
+	if f.store.mode == storeSlow {
+		way += time.Duration(f.rng.Int64N(int64(3 * time.Second)))
+	}
+	f.at(way, func() {
+		a, lost := f.executeCall(c)
+		if lost || h.cutStore {
+			return
+		}
+		f.at(way, func() { f.onHost(h, life, func() { answer(a) }) })
+	})
+}
+
+func (f *simFleet) executeCall(c Call) (a Answer, lost bool) {
+	switch f.store.mode {
+	case storeSilent:
+		return a, true
+	case storeOut:
+		return Answer{Err: table.ErrOut, Refused: true}, false
+	}
+	ctx := context.Background()
+	if c.Read != nil {
+		a.Changes, a.Err = f.table.Changes(ctx, c.Read.After)
+		return a, f.percent(f.store.loseAnswers)
+	}
+	a.Revision, a.Err = f.table.Commit(ctx, *c.Txn)
+	if conflict, ok := a.Err.(*table.Conflict); ok {
+		a.Rows = conflict.Rows
+	}
+	return a, f.percent(f.store.loseAnswers)
+}
+
+func (f *simFleet) percent(n int) bool { return n > 0 && f.rng.IntN(100) < n }
+
+func (f *simFleet) host(name id.Host) *simHost {
+	for _, h := range f.hosts {
+		if h.id == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// run lets the fleet live for d.
+func (f *simFleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.events) > 0 && f.events[0].at <= end {
+		e := heap.Pop(&f.events).(*event)
+		f.now = e.at
+		e.act()
+	}
+	f.now = end
+}
+
+// freeze stops a process; wake lets it go on. Its first act is to spend, as a
+// request would that was under way.
+func (f *simFleet) freeze(h *simHost) { h.frozen = !h.dead }
+
+func (f *simFleet) wake(h *simHost) {
+	if !h.frozen || h.dead {
+		return
+	}
+	h.frozen = false
+	for _, account := range h.agent.View().Pool.Keys() {
+		f.spend(h, account)
+	}
+	held := h.held
+	h.held = nil
+	for _, act := range held {
+		act()
+	}
+}
+
+// spend tries to take one request at a host, and records it if admitted.
+func (f *simFleet) spend(h *simHost, account id.Account) budget.Result {
+	now := f.local(h)
+	if !f.mayServe(h) {
+		return budget.Lapsed
+	}
+	result := h.agent.View().Pool.Spend(account, unit.Token, now)
+	if result == budget.Granted {
+		f.admitted[account] = append(f.admitted[account], admission{f.now, h.id})
+	}
+	return result
+}
+
+func (f *simFleet) mayServe(h *simHost) bool {
+	return f.ungated || h.agent.View().Keyed.Valid(f.local(h))
+}
+
+// request sends one request to a host; done is told what became of it.
+func (f *simFleet) request(h *simHost, account id.Account, patience time.Duration, done func(admitted bool)) {
+	if h.dead || h.frozen {
+		done(false)
+		return
+	}
+	if f.spend(h, account) == budget.Granted {
+		done(true)
+		return
+	}
+	f.await(h, &simRequest{account: account, until: f.now.Add(patience), done: done})
+}
+
+// await parks a request until a loan has been decided.
+func (f *simFleet) await(h *simHost, r *simRequest) {
+	ch, out := h.agent.Await(f.local(h), r.account)
+	if ch == nil {
+		f.carryOut(h, out)
+		r.done(false)
+		return
+	}
+	r.ch = ch
+	h.waiting = append(h.waiting, r)
+	life := h.life
+	f.at(r.until.Sub(f.now), func() {
+		f.onHost(h, life, func() { f.giveUp(h, r) })
+	})
+	f.carryOut(h, out)
+}
+
+func (f *simFleet) giveUp(h *simHost, r *simRequest) {
+	for i, other := range h.waiting {
+		if other == r {
+			h.waiting = append(h.waiting[:i:i], h.waiting[i+1:]...)
+			h.agent.Resume(r.account)
+			r.done(false)
+			return
+		}
+	}
+}
+
+// wakeWaiting retries the requests whose loans have been decided.
+func (f *simFleet) wakeWaiting(h *simHost) {
+	var ready, rest []*simRequest
+	for _, r := range h.waiting {
+		select {
+		case <-r.ch:
+			ready = append(ready, r)
+		default:
+			rest = append(rest, r)
+		}
+	}
+	h.waiting = rest
+	for _, r := range ready {
+		h.agent.Resume(r.account)
+		now := f.local(h)
+		if !f.mayServe(h) || f.now >= r.until {
+			r.done(false)
+			continue
+		}
+		if h.agent.View().Pool.Retry(r.account, unit.Token, now) == budget.Granted {
+			f.admitted[r.account] = append(f.admitted[r.account], admission{f.now, h.id})
+			r.done(true)
+			continue
+		}
+		f.await(h, r)
+	}
+}
+
+// withdraw raises the withdrawal of a key at a host.
+func (f *simFleet) withdraw(h *simHost, hash key.Hash) {
+	f.carryOut(h, h.agent.Withdraw(f.local(h), hash))
+}
+
+// accepts tells whether a host would authenticate a key now.
+func (f *simFleet) accepts(h *simHost, hash key.Hash) bool {
+	if h.dead || h.frozen || !h.agent.View().Keyed.Valid(f.local(h)) {
+		return false
+	}
+	_, ok := h.agent.View().Ring.Load().Account(hash)
+	return ok
+}
+
+// firstExcess returns the index of the first admission that one perfect token
+// bucket would not have granted, or -1. The bucket starts full.
+func firstExcess(admitted []admission, rate, burst int64) int {
+	const scale = int64(time.Second)
+	tokens := burst * scale
+	var last clock.Instant
+	for i, a := range admitted {
+		at := a.at
+		if i > 0 {
+			elapsed := min(int64(at-last), burst*scale/rate+1)
+			tokens = min(tokens+elapsed*rate, burst*scale)
+		}
+		last = at
+		if tokens < scale {
+			return i
+		}
+		tokens -= scale
+	}
+	return -1
+}
--- a/pkg/coordination/agent/heartbeat.go
+++ b/pkg/coordination/agent/heartbeat.go
@@ -158,7 +158,7 @@
 	if a.notes.alive == nil {
 		a.notes.alive = map[id.Host]bool{}
 	}
-	for h := range a.peers {
+	for _, h := range a.knownHosts() {
 		alive := a.tracker.Alive(h, now)
 		if a.notes.alive[h] && !alive {
 			a.publishDue = true
--- a/pkg/coordination/agent/marks.go
+++ b/pkg/coordination/agent/marks.go
@@ -87,7 +87,7 @@
 			}
 		}
 		if len(missing) > 0 {
-			a.send(h, Message{Marks: &Marks{Hashes: missing}})
+			a.send(h, Message{Marks: &Marks{Hashes: sorted(missing)}})
 		}
 	}
 	a.recordMarks(now)
@@ -99,8 +99,12 @@
 	for h := range m.unrecorded {
 		out = append(out, h)
 	}
-	slices.SortFunc(out, func(x, y key.Hash) int { return bytes.Compare(x[:], y[:]) })
-	return out
+	return sorted(out)
+}
+
+func sorted(hashes []key.Hash) []key.Hash {
+	slices.SortFunc(hashes, func(x, y key.Hash) int { return bytes.Compare(x[:], y[:]) })
+	return hashes
 }
 
 // forgetHost drops the confirmations of a host that has started anew.
--- /dev/null
+++ b/pkg/coordination/agent/promise_test.go
@@ -0,0 +1,202 @@
+package agent
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the
+// same verdict; -rapid.seed chooses another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+var testAccounts = []config.Account{
+	{ID: "large", RatePerSecond: 60, Burst: 40},
+	{ID: "small", RatePerSecond: 6, Burst: 8},
+}
+
+// fault is one step of a schedule.
+type fault int
+
+const (
+	faultKill fault = iota
+	faultRestart
+	faultFreeze
+	faultWake
+	faultCutRegion
+	faultCutHosts
+	faultCutStore
+	faultHeal
+	faultStoreOut
+	faultStoreSilent
+	faultStoreSlow
+	faultStoreLoses
+	faultStoreUp
+	faultLinks
+	faultLeave
+	faultRelease
+	faultCount
+)
+
+var faultNames = [...]string{
+	"kill", "restart", "freeze", "wake", "cut region", "cut hosts", "cut store", "heal", "store out", "store silent",
+	"store slow", "store loses answers", "store up", "bad links", "leave", "release",
+}
+
+// apply does one step of a schedule to the fleet.
+func (f *simFleet) apply(what fault, h, other *simHost) {
+	switch what {
+	case faultKill:
+		h.dead = true
+	case faultRestart:
+		if h.dead || h.frozen {
+			f.start(h)
+		}
+	case faultFreeze:
+		f.freeze(h)
+	case faultWake:
+		f.wake(h)
+	case faultCutRegion:
+		f.cutRegion(h.region)
+	case faultCutHosts:
+		h.cutFrom[other.id] = true
+	case faultCutStore:
+		h.cutStore = true
+	case faultHeal:
+		f.heal()
+	case faultStoreOut:
+		f.store.mode = storeOut
+	case faultStoreSilent:
+		f.store.mode = storeSilent
+	case faultStoreSlow:
+		f.store.mode = storeSlow
+	case faultStoreLoses:
+		f.store.loseAnswers = 40
+	case faultStoreUp:
+		f.store = storeFault{}
+	case faultLinks:
+		f.linkFault = linkFault{lose: 20, double: 20, late: 10}
+	case faultLeave:
+		if !h.dead && !h.frozen {
+			f.carryOut(h, h.agent.Leave(f.local(h)))
+		}
+	case faultRelease:
+		if !h.dead && !h.frozen {
+			h.agent.Release(f.local(h))
+		}
+	}
+}
+
+// cutRegion cuts a region from all others, and from the table unless it is there.
+func (f *simFleet) cutRegion(region id.Region) {
+	for _, h := range f.hosts {
+		inside := h.region == region
+		if inside != (f.delays.storeRegion == region) {
+			h.cutStore = true
+		}
+		for _, other := range f.hosts {
+			if inside != (other.region == region) {
+				h.cutFrom[other.id] = true
+			}
+		}
+	}
+}
+
+func (f *simFleet) heal() {
+	f.linkFault = linkFault{}
+	for _, h := range f.hosts {
+		h.cutStore = false
+		clear(h.cutFrom)
+	}
+}
+
+// load sends requests of all accounts to all hosts, well above the rates.
+func (f *simFleet) load(every time.Duration) {
+	for _, h := range f.hosts {
+		for _, account := range testAccounts {
+			f.request(h, account.ID, 200*time.Millisecond, func(bool) {})
+		}
+	}
+	f.at(every, func() { f.load(every) })
+}
+
+// TestPromiseAccountNeverOverRate checks, over random schedules of faults, that
+// the requests admitted by all hosts together are such as one perfect token
+// bucket would have admitted.
+func TestPromiseAccountNeverOverRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		d := rapid.SampledFrom([]delays{pushpaDelays, hangRaoDelays}).Draw(t, "delays")
+		f := newFleet(seed, 3, 2, d, DemandPolicy, testAccounts)
+		f.ungated = rapid.Bool().Draw(t, "ungated")
+		f.load(30 * time.Millisecond)
+		f.run(8 * time.Second)
+		steps := rapid.IntRange(1, 14).Draw(t, "steps")
+		for range steps {
+			what := fault(rapid.IntRange(0, int(faultCount)-1).Draw(t, "fault"))
+			h := f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")]
+			other := f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "other")]
+			wait := rapid.SampledFrom([]time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 5 * time.Second, 9 * time.Second, 20 * time.Second}).Draw(t, "wait")
+			t.Logf("%v %s %s %s, then wait %v", time.Duration(f.now), faultNames[what], h.id, other.id, wait)
+			f.apply(what, h, other)
+			f.run(wait)
+		}
+		f.run(15 * time.Second)
+		f.check(t)
+	})
+}
+
+type logger interface {
+	Logf(string, ...any)
+	Errorf(string, ...any)
+}
+
+// check compares the admitted requests with a perfect bucket.
+func (f *simFleet) check(t logger) {
+	for _, account := range testAccounts {
+		times := f.admitted[account.ID]
+		if i := firstExcess(times, account.RatePerSecond, account.Burst); i >= 0 {
+			t.Errorf("account %s: got request %d of %d admitted at %v over the rate, want none", account.ID, i, len(times), time.Duration(times[i].at))
+			for _, a := range times[max(0, i-30) : i+1] {
+				t.Logf("admitted at %v by %s", time.Duration(a.at), a.host)
+			}
+			f.dump(t)
+		}
+	}
+}
+
+func (f *simFleet) dump(t logger) {
+	for _, h := range f.hosts {
+		for _, account := range testAccounts {
+			if b := h.agent.View().Pool.Bucket(account.ID); b != nil {
+				t.Logf("%s %s: share %v, leased until %v", h.id, account.ID, b.Share(), time.Duration(h.agent.shares.Until()-h.offset))
+			}
+		}
+	}
+	rows, _ := f.table.Changes(context.Background(), 0)
+	for _, row := range rows.Rows {
+		if row.Budget != nil {
+			t.Logf("table: %+v", *row.Budget)
+		}
+	}
+	for _, h := range f.hosts {
+		for _, line := range h.log {
+			t.Logf("%s", line)
+		}
+	}
+}
--- a/pkg/coordination/agent/rows.go
+++ b/pkg/coordination/agent/rows.go
@@ -74,8 +74,8 @@
 
 // relay passes changes on to the other hosts of the failure domain.
 func (a *Agent) relay(c table.Changes) {
-	for h, p := range a.peers {
-		if p.failureDomain == a.self.FailureDomain && p.complete < c.Revision {
+	for _, h := range a.knownHosts() {
+		if p := a.peers[h]; p != nil && p.failureDomain == a.self.FailureDomain && p.complete < c.Revision {
 			a.send(h, Message{Relay: &Relay{Changes: c}})
 		}
 	}
--- a/pkg/coordination/budget/bucket.go
+++ b/pkg/coordination/budget/bucket.go
@@ -1,9 +1,9 @@
 package budget
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -13,9 +13,6 @@
 // loanSlots bounds the loans that one bucket has received and may spend at the same time.
 const loanSlots = 8
 
-// refillInterval is the least time between two refills.
-const refillInterval = 200 * time.Microsecond
-
 // Share is the part of a budget that a bucket may use: an amount per second
 // and the most that may be kept for one burst.
 type Share[U unit.Amount] struct {
@@ -25,22 +22,22 @@
 
 // Bucket is a host's part of one budget.
 //
-// Spending takes tokens with one compare-and-swap and never waits. Only
-// refills, changes of the share and loans take the mutex, and a refill that
-// would have to wait is left to whoever holds it. Tokens enter a bucket in
-// three ways: by the share's rate, up to the burst less what is out on loan;
-// by a loan from another host, which is kept apart and expires; and not at
-// all when the share grows, because a grown share starts without tokens.
+// What the bucket holds is one atomic number in a tank (see tank). Spending
+// loads the current tank and changes that number with one compare-and-swap.
+// Changes of the share and loans take the mutex, close the tank, and put a new
+// one in its place, so that no spend goes by a share that is no longer valid.
+//
+// Tokens enter a bucket in three ways: by the share's rate, up to the burst
+// less what is out on loan; by a loan from another host, which is kept apart
+// and expires; and not at all when the share grows, because a grown share
+// starts without tokens.
 type Bucket[U unit.Amount] struct {
-	tokens atomic.Int64
-	loans  [loanSlots]received
+	tank  atomic.Pointer[tank[U]]
+	loans [loanSlots]received
 
-	// spent counts all that was granted, for the measurement of demand.
-	spent atomic.Int64
-	// wanted counts all that was asked for.
+	// spent counts all that was granted, and wanted all that was asked for.
+	spent  atomic.Int64
 	wanted atomic.Int64
-	// refilledAt is the instant up to which the rate has been credited.
-	refilledAt atomic.Int64
 
 	mu    sync.Mutex
 	share Share[U]
@@ -64,7 +61,7 @@
 // NewBucket returns an empty bucket that fills at share's rate from now on.
 func NewBucket[U unit.Amount](share Share[U], now clock.Instant) *Bucket[U] {
 	b := &Bucket[U]{share: share}
-	b.refilledAt.Store(int64(now))
+	b.tank.Store(newTank(share, 0, now))
 	return b
 }
 
@@ -91,13 +88,13 @@
 	if b.takeLoan(amount, now) {
 		return true
 	}
-	if takeFrom(&b.tokens, int64(amount)) {
-		return true
+	granted, closed := b.tank.Load().take(amount, now)
+	if closed {
+		b.mu.Lock()
+		granted, _ = b.tank.Load().take(amount, now)
+		b.mu.Unlock()
 	}
-	if !b.tryRefill(now) {
-		return false
-	}
-	return takeFrom(&b.tokens, int64(amount))
+	return granted
 }
 
 // takeLoan spends received loans first, because they expire.
@@ -126,58 +123,44 @@
 	}
 }
 
-func (b *Bucket[U]) tryRefill(now clock.Instant) bool {
-	if now.Sub(clock.Instant(b.refilledAt.Load())) < refillInterval {
-		return false
-	}
-	if !b.mu.TryLock() {
-		return false
-	}
-	defer b.mu.Unlock()
-	b.refill(now)
-	return true
-}
-
-// refill credits the rate since the last refill. The caller holds the mutex.
-func (b *Bucket[U]) refill(now clock.Instant) {
-	elapsed := now.Sub(clock.Instant(b.refilledAt.Load()))
-	if elapsed <= 0 {
-		return
-	}
-	b.refilledAt.Store(int64(now))
-	room := int64(b.room(now))
-	credit := int64(unit.Over(b.share.Rate, elapsed))
-	for {
-		have := b.tokens.Load()
-		next := min(have+min(credit, room), room)
-		if b.tokens.CompareAndSwap(have, next) {
-			return
-		}
-	}
+// refresh puts a new tank in place: with the current share, less what is out
+// on loan, and with what change makes of the old tank's tokens. The caller
+// holds the mutex.
+func (b *Bucket[U]) refresh(now clock.Instant, change func(tokens U) U) {
+	tokens := change(b.tank.Load().close(now))
+	room := Share[U]{Rate: b.share.Rate, Burst: b.room(now)}
+	b.tank.Store(newTank(room, min(tokens, room.Burst), now))
 }
 
 // room returns the burst less what is out on loan. The caller holds the mutex.
 func (b *Bucket[U]) room(now clock.Instant) U {
+	b.lent = slices.DeleteFunc(b.lent, func(l lent[U]) bool { return now > l.until })
 	room := b.share.Burst
-	kept := b.lent[:0]
 	for _, l := range b.lent {
-		if now <= l.until {
-			room -= l.amount
-			kept = append(kept, l)
-		}
+		room -= l.amount
 	}
-	b.lent = kept
 	return max(room, 0)
 }
 
+func same[U unit.Amount](tokens U) U { return tokens }
+
 // SetShare replaces the share. What a lowered burst no longer has room for is
 // dropped; a raised one gains no tokens.
 func (b *Bucket[U]) SetShare(share Share[U], now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
 	b.share = share
-	b.clip(int64(b.room(now)))
+	b.refresh(now, same)
+}
+
+// Reclaim makes the room of ended loans usable again. Without it the room
+// stays empty.
+func (b *Bucket[U]) Reclaim(now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if slices.ContainsFunc(b.lent, func(l lent[U]) bool { return now > l.until }) {
+		b.refresh(now, same)
+	}
 }
 
 // Settled tells whether the bucket, with all it has lent, is within its share,
@@ -194,38 +177,25 @@
 	return out <= b.share.Burst
 }
 
-func (b *Bucket[U]) clip(room int64) {
-	for {
-		have := b.tokens.Load()
-		if have <= room || b.tokens.CompareAndSwap(have, room) {
-			return
-		}
-	}
-}
-
 // Lend debits up to amount, but never leaves less than keep, and keeps the
 // room for it empty until the given instant. It returns what was debited; a
 // repeated loan id gets nothing.
 func (b *Bucket[U]) Lend(loan id.Loan, to id.Host, amount, keep U, now, until clock.Instant) U {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
-	for _, l := range b.lent {
-		if l.loan == loan && l.to == to {
-			return 0
-		}
+	if slices.ContainsFunc(b.lent, func(l lent[U]) bool { return l.loan == loan && l.to == to }) {
+		return 0
 	}
-	for {
-		have := b.tokens.Load()
-		part := min(int64(amount), have-int64(keep))
-		if part <= 0 {
-			return 0
-		}
-		if b.tokens.CompareAndSwap(have, have-part) {
-			b.lent = append(b.lent, lent[U]{loan: loan, to: to, amount: U(part), until: until})
-			return U(part)
-		}
+	if b.tank.Load().level(now) <= keep {
+		return 0
 	}
+	var part U
+	b.refresh(now, func(tokens U) U {
+		part = max(0, min(amount, tokens-keep))
+		b.lent = append(b.lent, lent[U]{loan: loan, to: to, amount: part, until: until})
+		return tokens - part
+	})
+	return part
 }
 
 // Receive adds a loan that may be spent up to the given instant. A loan for
@@ -248,8 +218,7 @@
 
 // Level returns the tokens that can be spent now, loans included.
 func (b *Bucket[U]) Level(now clock.Instant) U {
-	b.tryRefill(now)
-	level := U(b.tokens.Load())
+	level := b.tank.Load().level(now)
 	for i := range b.loans {
 		if int64(now) <= b.loans[i].until.Load() {
 			level += U(b.loans[i].tokens.Load())
