--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -18,9 +18,9 @@
 	Region        id.Region        `json:"region" validate:"required"`
 	FailureDomain id.FailureDomain `json:"failure_domain" validate:"required"`
 	// CallerListen is the address for callers and operators.
-	CallerListen string `json:"caller_listen" validate:"required,hostname_port"`
+	CallerListen string `json:"caller_listen" validate:"required,listen"`
 	// HostListen is the address for other entry hosts.
-	HostListen string `json:"host_listen" validate:"required,hostname_port"`
+	HostListen string `json:"host_listen" validate:"required,listen"`
 	// CallerAddress and HostAddress are what others are told to use, if not the
 	// addresses listened on.
 	CallerAddress string `json:"caller_address,omitempty" validate:"omitempty,hostname_port"`
@@ -50,7 +50,7 @@
 
 // StandinPlatform holds the settings of the stand-in of the platform.
 type StandinPlatform struct {
-	Listen    string `json:"listen" validate:"required,hostname_port"`
+	Listen    string `json:"listen" validate:"required,listen"`
 	DelayMS   int    `json:"delay_ms,omitempty" validate:"gte=0,lte=60000"`
 	ListLagMS int    `json:"list_lag_ms,omitempty" validate:"gte=0,lte=600000"`
 	Log       Log    `json:"log,omitempty"`
@@ -70,7 +70,7 @@
 	Release       id.Release       `json:"release" validate:"required"`
 	Region        id.Region        `json:"region" validate:"required"`
 	FailureDomain id.FailureDomain `json:"failure_domain" validate:"required"`
-	Listen        string           `json:"listen" validate:"required,hostname_port"`
+	Listen        string           `json:"listen" validate:"required,listen"`
 	Slots         int              `json:"slots" validate:"gt=0,lte=10000"`
 	// ServiceTime is how long a request takes.
 	ServiceTime config.Duration `json:"service_time,omitempty" validate:"gte=0"`
--- a/internal/protocol/settings/strict.go
+++ b/internal/protocol/settings/strict.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -43,9 +45,22 @@
 func newChecker() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return jsonName(f) })
+	if err := v.RegisterValidation("listen", validListen); err != nil {
+		panic(err)
+	}
 	return v
 }
 
+// validListen accepts an address with a port from 0 to 65535; 0 stands for any free one.
+func validListen(field validator.FieldLevel) bool {
+	host, port, err := net.SplitHostPort(field.Field().String())
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
 // Decode reads a JSON document of type T strictly. All faults are reported at
 // once, joined: unknown fields, wrong types and values out of range. File is
 // used for messages only.
@@ -256,6 +271,8 @@
 		return "one of " + strings.ReplaceAll(e.Param(), " ", ", ")
 	case "startswith":
 		return "text that starts with " + e.Param()
+	case "listen":
+		return "an IP address and a port such as 127.0.0.1:8100"
 	case "hostname_port":
 		return "an address such as 127.0.0.1:8100"
 	case "url":
