--- a/pkg/coordination/agent/promise_test.go
+++ b/pkg/coordination/agent/promise_test.go
@@ -21,6 +21,9 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", "20261204")
 	}
+	if testing.Short() {
+		_ = flag.Set("rapid.checks", "20")
+	}
 	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
 	os.Exit(m.Run())
 }
