Prove withdrawal of keys and configuration over random faults

TestPromiseWithdrawnKeyStops, TestPromiseConfigurationNeverReverts and cases for outages, cuts and new hosts, on the simulated clock.

--- /dev/null
+++ b/pkg/coordination/agent/promise_keys_test.go
@@ -0,0 +1,200 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+// withdrawnLimit is the longest time for which a withdrawn key may still work.
+const withdrawnLimit = 5 * time.Second
+
+var testKey = key.NewHasher([]byte("a secret of the tests")).Hash("a key of the tests")
+
+// grant puts the key in the table.
+func (f *simFleet) grant() {
+	rec := key.Record{Hash: testKey, Account: "large"}
+	k := table.GrantKey(testKey)
+	_, _ = f.table.Commit(context.Background(), table.Txn{Operation: "grant", Puts: []table.Row{{Key: k, Grant: &rec}}})
+}
+
+// recorded tells whether the table holds the withdrawal.
+func (f *simFleet) recorded() bool {
+	rows, _ := f.table.Rows(context.Background(), []table.Key{table.GrantKey(testKey)})
+	return len(rows) == 1 && rows[0].Grant.Withdrawn
+}
+
+// watchWithdrawal looks at all hosts again and again. Once the withdrawal is
+// recorded, or in force on all hosts, no host may take the key for longer than
+// the limit.
+func (f *simFleet) watchWithdrawal(t logger, raisedAt *simHost, life int, accepted *clock.Instant) {
+	if *accepted == 0 {
+		everywhere := raisedAt.life == life && len(raisedAt.agent.WithdrawalOf(testKey).Missing) == 0
+		if f.recorded() || everywhere {
+			*accepted = f.now
+		}
+	}
+	if *accepted != 0 && f.now.Sub(*accepted) > withdrawnLimit {
+		for _, h := range f.hosts {
+			if f.accepts(h, testKey) {
+				t.Errorf("host %s takes the key %v after its withdrawal, want at most %v", h.id, f.now.Sub(*accepted), withdrawnLimit)
+				f.dump(t)
+			}
+		}
+	}
+	f.at(250*time.Millisecond, func() { f.watchWithdrawal(t, raisedAt, life, accepted) })
+}
+
+// TestPromiseWithdrawnKeyStops checks, over random schedules of faults, that a
+// withdrawn key stops working on every host within the limit.
+func TestPromiseWithdrawnKeyStops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.grant()
+		f.run(5 * time.Second)
+		if !f.accepts(f.hosts[0], testKey) {
+			t.Fatalf("got the key refused before its withdrawal, want it taken")
+		}
+		schedule(t, f, func() {})
+		for _, h := range f.hosts {
+			if !h.dead && !h.frozen {
+				var accepted clock.Instant
+				f.withdraw(h, testKey)
+				f.watchWithdrawal(t, h, h.life, &accepted)
+				break
+			}
+		}
+		schedule(t, f, func() {})
+		f.run(10 * time.Second)
+	})
+}
+
+// TestWithdrawalDuringOutage holds the cases of withdrawals with the table out.
+func TestWithdrawalDuringOutage(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(*simFleet)
+	}{
+		{"table answers that it is out", func(f *simFleet) { f.store.mode = storeOut }},
+		{"table silent", func(f *simFleet) { f.store.mode = storeSilent }},
+		{"table slow", func(f *simFleet) { f.store.mode = storeSlow }},
+		{"table loses answers", func(f *simFleet) { f.store.loseAnswers = 100 }},
+		{"table up", func(*simFleet) {}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(1, 3, 4, hangRaoDelays, DemandPolicy, testAccounts)
+			f.grant()
+			f.run(5 * time.Second)
+			c.fault(f)
+			f.run(30 * time.Second)
+			for _, h := range f.hosts {
+				if !f.accepts(h, testKey) {
+					t.Errorf("host %s refuses the key before its withdrawal, want it taken", h.id)
+				}
+			}
+			f.withdraw(f.hosts[0], testKey)
+			f.run(time.Second)
+			for _, h := range f.hosts {
+				if f.accepts(h, testKey) {
+					t.Errorf("host %s takes the key a second after its withdrawal, want it refused", h.id)
+				}
+			}
+			if got := f.hosts[0].agent.WithdrawalOf(testKey); len(got.Missing) != 0 {
+				t.Errorf("got the withdrawal missing on %v, want it reported in force everywhere", got.Missing)
+			}
+		})
+	}
+}
+
+// TestCutHostRefusesKeyedRequests holds that a host which can hear neither the
+// table nor the other hosts refuses keyed requests within the limit.
+func TestCutHostRefusesKeyedRequests(t *testing.T) {
+	f := newFleet(1, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.grant()
+	f.run(5 * time.Second)
+	cut := f.hosts[3]
+	cut.cutStore = true
+	for _, other := range f.hosts {
+		cut.cutFrom[other.id] = true
+	}
+	f.run(withdrawnLimit)
+	if f.accepts(cut, testKey) {
+		t.Errorf("got the key taken by a host that was cut off %v ago, want it refused", withdrawnLimit)
+	}
+	f.heal()
+	f.run(3 * time.Second)
+	if !f.accepts(cut, testKey) {
+		t.Error("got the key refused after the cut has ended, want it taken")
+	}
+}
+
+// TestHostStartedDuringOutageLearnsFromPeers holds that a new host with no
+// table takes the highest revision that its peers have, and serves none before.
+func TestHostStartedDuringOutageLearnsFromPeers(t *testing.T) {
+	f := newFleet(1, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.grant()
+	f.run(5 * time.Second)
+	f.store.mode = storeSilent
+	f.run(5 * time.Second)
+	f.withdraw(f.hosts[0], testKey)
+	f.run(time.Second)
+	started := f.hosts[4]
+	f.start(started)
+	for range 100 {
+		if f.accepts(started, testKey) {
+			t.Fatal("got the withdrawn key taken by a new host, want it refused")
+		}
+		f.run(50 * time.Millisecond)
+	}
+	_, got := started.agent.Config()
+	if _, want := f.hosts[0].agent.Config(); got != want {
+		t.Errorf("got configuration %d on the new host, want %d as on its peers", got, want)
+	}
+}
+
+// TestPromiseConfigurationNeverReverts checks, over random schedules of faults
+// and of changes by racing operators, that the revision in force on a process
+// never goes down, and that the last one is in force everywhere soon after all
+// faults have ended.
+func TestPromiseConfigurationNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.run(3 * time.Second)
+		highest := map[incarnationOf]table.Revision{}
+		look := func() {
+			for _, h := range f.hosts {
+				life := incarnationOf{h.id, id.Incarnation(h.life)}
+				_, revision := h.agent.Config()
+				if revision < highest[life] {
+					t.Errorf("host %s: got configuration %d after %d, want none lower", h.id, revision, highest[life])
+				}
+				highest[life] = revision
+			}
+			if rapid.Bool().Draw(t, "change") {
+				f.applyConfig(append([]config.Account{{ID: "new", RatePerSecond: 1, Burst: 1}}, testAccounts...))
+			}
+		}
+		schedule(t, f, look)
+		f.store = storeFault{}
+		f.heal()
+		for _, h := range f.hosts {
+			f.wake(h)
+		}
+		f.run(2 * time.Second)
+		rows, _ := f.table.Rows(context.Background(), []table.Key{table.ConfigKey})
+		for _, h := range f.hosts {
+			if _, got := h.agent.Config(); !h.dead && got != rows[0].Revision {
+				t.Errorf("host %s: got configuration %d two seconds after all faults have ended, want %d", h.id, got, rows[0].Revision)
+			}
+		}
+	})
+}
