Keep a key out of the names of headers; test the path over sockets

Cause: the key was searched in headers with its case; the library changes the case of names, so a key in the name of a header reached the upstream. TestPromiseNoUpstreamSeesKey: seen failing (X-A-Key-Of-The-Tests- in the upstream's record), passes now. New over real sockets: at most once, no repeats by the library's transport, whole answers, uploads cut short, truth of not run, withdrawal on open connections, graceful stop.

--- /dev/null
+++ b/internal/daemon/fixture_test.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/internal/logging"
+	operatorprotocol "celerypin.example/celerypin/internal/protocol/operator"
+	platformprotocol "celerypin.example/celerypin/internal/protocol/platform"
+	"celerypin.example/celerypin/internal/protocol/settings"
+	"celerypin.example/celerypin/internal/standin/platform"
+	"celerypin.example/celerypin/internal/standin/upstream"
+	"celerypin.example/celerypin/internal/transport/operator"
+	platformtransport "celerypin.example/celerypin/internal/transport/platform"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+const (
+	testToken  = "a token of the tests"
+	testSecret = "a secret of the tests"
+	testKey    = "a-key-of-the-tests-0123456789"
+	// patience bounds the wait for something that must happen; it is no target.
+	patience = 20 * time.Second
+)
+
+var testConfig = config.Config{
+	Accounts: []config.Account{{ID: "parish", RatePerSecond: 1000, Burst: 1000}},
+	Classes: []config.Class{
+		{ID: "read", Deadline: config.Duration(5 * time.Second), Idempotent: true, MaxBody: 1 << 16},
+		{ID: "once", Deadline: config.Duration(5 * time.Second), MaxBody: 1 << 16},
+		{ID: "upload", Deadline: config.Duration(30 * time.Second), MaxBody: 64 << 20},
+	},
+	Routes: []config.Route{
+		{ID: "read", PathPrefix: "/read/", Service: "reads", Class: "read"},
+		{ID: "open", PathPrefix: "/open/", Service: "reads", Class: "read", Open: true},
+		{ID: "once", PathPrefix: "/once/", Service: "swaps", Class: "once"},
+		{ID: "upload", PathPrefix: "/upload/", Service: "photos", Class: "upload"},
+	},
+}
+
+// deployment is a platform, workers and hosts on loopback.
+type deployment struct {
+	t        *testing.T
+	platform *platform.Server
+	workers  map[id.Upstream]*upstream.Worker
+	hosts    []*Host
+}
+
+func newDeployment(t *testing.T, hosts int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, workers: map[id.Upstream]*upstream.Worker{}}
+	server, err := platform.New("127.0.0.1:0", platformprotocol.Knobs{}, clock.System{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.platform = server
+	server.Start()
+	t.Cleanup(server.Close)
+	for _, w := range []settings.Worker{{ID: "reads-1", Service: "reads"}, {ID: "swaps-1", Service: "swaps"}, {ID: "photos-1", Service: "photos"}} {
+		w.Release, w.Region, w.FailureDomain, w.Listen, w.Slots = "v1", "r0", "r0-a", "127.0.0.1:0", 64
+		d.startWorker(w)
+	}
+	for n := range hosts {
+		d.startHost(n)
+	}
+	d.configure()
+	return d
+}
+
+func (d *deployment) startWorker(s settings.Worker) {
+	d.t.Helper()
+	w, err := upstream.New(s, clock.System{})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	w.Start()
+	d.t.Cleanup(w.Close)
+	d.workers[s.ID] = w
+	d.list(s.Upstream(w.Address()))
+}
+
+// list tells the platform of an upstream.
+func (d *deployment) list(u fleet.Upstream) {
+	d.t.Helper()
+	told := platformtransport.New(d.platform.URL(), "", time.Second)
+	defer told.Close()
+	if err := told.Tell(context.Background(), platformprotocol.UpstreamRequest{Upstream: u}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *deployment) startHost(n int) {
+	d.t.Helper()
+	name := id.Host("host-" + string(rune('a'+n)))
+	h, err := New(settings.Serve{
+		Host: name, Region: "r0", FailureDomain: "r0-a", CallerListen: "127.0.0.1:0", HostListen: "127.0.0.1:0",
+		Platform: d.platform.URL(), FleetSecret: testSecret, OperatorToken: testToken,
+	}, clock.System{}, logging.Discard())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if err := h.Start(context.Background()); err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(h.Kill)
+	d.hosts = append(d.hosts, h)
+}
+
+func (d *deployment) operator(n int) *operator.Client {
+	return operator.NewClient(d.hosts[n].CallerAddress(), testToken)
+}
+
+// configure applies the configuration, grants the key and waits until all
+// hosts serve it.
+func (d *deployment) configure() {
+	d.t.Helper()
+	ctx := context.Background()
+	d.eventually("all hosts to have leases", func() bool {
+		for n := range d.hosts {
+			list, err := operator.Get[operatorprotocol.HostList](ctx, d.operator(n), operatorprotocol.HostsPath)
+			if err != nil || !list.Leased || !list.Keyed || len(list.Hosts) != len(d.hosts) {
+				return false
+			}
+		}
+		return true
+	})
+	document := operatorprotocol.ConfigDocument{Config: testConfig}
+	if _, err := operator.Send[operatorprotocol.ConfigDocument, operatorprotocol.ConfigApplied](ctx, d.operator(0), http.MethodPut, operatorprotocol.ConfigPath, document); err != nil {
+		d.t.Fatal(err)
+	}
+	grant := operatorprotocol.KeyGrant{Account: "parish", Key: testKey}
+	if _, err := operator.Send[operatorprotocol.KeyGrant, operatorprotocol.KeyGranted](ctx, d.operator(0), http.MethodPost, operatorprotocol.KeysPath, grant); err != nil {
+		d.t.Fatal(err)
+	}
+	d.eventually("all hosts to serve reads", func() bool {
+		for n := range d.hosts {
+			if response := d.request(n, http.MethodGet, "/read/warm", nil, nil); response.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (d *deployment) eventually(what string, ready func() bool) {
+	d.t.Helper()
+	for until := time.Now().Add(patience); !ready(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			d.t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// answer is a response with its whole body.
+type answer struct {
+	*http.Response
+	body string
+	err  error
+}
+
+// request sends a request with the test's key, unless the header says otherwise.
+func (d *deployment) request(n int, method, path string, header http.Header, body io.Reader) answer {
+	d.t.Helper()
+	request, err := http.NewRequest(method, "http://"+d.hosts[n].CallerAddress()+path, body)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{Response: &http.Response{}, err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{response, string(data), err}
+}
+
+func (d *deployment) post(n int, path, requestID, body string) answer {
+	d.t.Helper()
+	return d.request(n, http.MethodPost, path, http.Header{"Request-Id": {requestID}}, strings.NewReader(body))
+}
--- /dev/null
+++ b/internal/daemon/path_test.go
@@ -0,0 +1,326 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	operatorprotocol "celerypin.example/celerypin/internal/protocol/operator"
+	platformprotocol "celerypin.example/celerypin/internal/protocol/platform"
+	"celerypin.example/celerypin/internal/standin/upstream"
+	"celerypin.example/celerypin/internal/transport/operator"
+	"celerypin.example/celerypin/pkg/state/fleet"
+)
+
+// TestLookupWithKeyIsAnswered holds a look-up with a key that was answered with
+// an empty body.
+func TestLookupWithKeyIsAnswered(t *testing.T) {
+	d := newDeployment(t, 1)
+	got := d.request(0, http.MethodGet, "/celerypin/v1/lookup", nil, nil)
+	want := `"address":"` + d.hosts[0].CallerAddress() + `"`
+	if got.StatusCode != http.StatusOK || !strings.Contains(got.body, want) {
+		t.Errorf("got %d %q, want 200 with %s", got.StatusCode, got.body, want)
+	}
+}
+
+// TestPromiseNoUpstreamSeesKey sends the key in every place where a caller might
+// put it, and looks through all that the upstream was sent.
+func TestPromiseNoUpstreamSeesKey(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, c := range []struct {
+		name   string
+		path   string
+		header http.Header
+		want   int
+	}{
+		{"in its own header", "/read/a", nil, 200},
+		{"header in another case", "/read/b", http.Header{"aUTHORIZATION": {"Bearer " + testKey}}, 400},
+		{"doubled header", "/read/c", http.Header{"Authorization": {"Bearer " + testKey, "Bearer " + testKey}}, 400},
+		{"in another header", "/read/d", http.Header{"X-Api-Key": {testKey}}, 200},
+		{"in a cookie", "/read/e", http.Header{"Cookie": {"a=1; key=" + testKey}}, 200},
+		{"in the query", "/read/f?key=" + testKey, nil, 400},
+		{"escaped in the query", "/read/g?key=%61" + testKey[1:], nil, 400},
+		{"in the path", "/read/" + testKey, nil, 400},
+		{"in the name of a header", "/read/h", http.Header{"X-" + testKey: {"1"}}, 200},
+		{"in a header named by Connection", "/read/i", http.Header{"Connection": {"X-Key"}, "X-Key": {testKey}}, 200},
+		{"in forged system headers", "/read/j", http.Header{"Celerypin-Account": {testKey}}, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := d.request(0, http.MethodGet, c.path, c.header, nil); got.StatusCode != c.want {
+				t.Errorf("got status %d %s, want %d", got.StatusCode, got.body, c.want)
+			}
+		})
+	}
+	d.trailerWithKey(t)
+	for name, w := range d.workers {
+		if got := w.Received(); strings.Contains(strings.ToLower(got), testKey) {
+			t.Errorf("upstream %s was sent the key, want it nowhere in:\n%s", name, got)
+		}
+	}
+	for _, e := range d.hosts[0].Events() {
+		if strings.Contains(fmt.Sprint(e), testKey) {
+			t.Errorf("the time line has the key in %v, want it nowhere", e)
+		}
+	}
+}
+
+// trailerWithKey sends the key in a trailer.
+func (d *deployment) trailerWithKey(t *testing.T) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+d.hosts[0].CallerAddress()+"/once/trailer", io.NopCloser(strings.NewReader("body")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Request-Id", "trailer")
+	request.Trailer = http.Header{"X-Late": {testKey}}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("got status %d for a request with a trailer, want 200", response.StatusCode)
+	}
+}
+
+// TestPromiseRunsAtMostOnce repeats a swap at both hosts, at the same time and
+// afterwards, and counts its executions in the upstream's own journal.
+func TestPromiseRunsAtMostOnce(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.workers["swaps-1"].SetKnobs(upstream.Knobs{SlowFactor: 1})
+	done := make(chan answer, 8)
+	for n := range 8 {
+		go func() { done <- d.post(n%2, "/once/swap", "swap-1", "vases") }()
+	}
+	served := 0
+	for range 8 {
+		if got := <-done; got.StatusCode == http.StatusOK {
+			served++
+		}
+	}
+	if served == 0 {
+		t.Error("got no answer served, want at least one")
+	}
+	if got := d.post(1, "/once/swap", "swap-1", "vases"); got.StatusCode != http.StatusOK || got.Header.Get("Celerypin-Replayed") != "true" {
+		t.Errorf("got %d %s for a later repeat, want the recorded answer", got.StatusCode, got.body)
+	}
+	if got := d.executions("swaps-1", "swap-1"); got != 1 {
+		t.Errorf("got %d executions, want 1", got)
+	}
+}
+
+func (d *deployment) executions(worker, request string) int {
+	n := 0
+	for id, w := range d.workers {
+		for _, e := range w.Journal() {
+			if string(id) == worker && string(e.Request) == request {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestTransportDoesNotRepeat holds that a request which the standard library
+// would repeat, because a kept connection failed and it carries an
+// Idempotency-Key, reaches an upstream once.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	d := newDeployment(t, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	var posts atomic.Int64
+	go acceptAll(listener, &posts)
+	d.list(fleet.Upstream{ID: "swaps-1", Service: "swaps", Release: "raw", Region: "r0", Address: listener.Addr().String(), Slots: 8, State: fleet.UpstreamLive})
+	header := http.Header{"Request-Id": {"warm"}, "Idempotency-Key": {"k"}}
+	d.eventually("the raw upstream to be listed", func() bool {
+		header.Set("Request-Id", fmt.Sprint("warm-", time.Now().UnixNano()))
+		d.request(0, http.MethodPost, "/once/x", header, nil)
+		return posts.Load() > 0
+	})
+	for n := range 5 {
+		before := posts.Load()
+		header.Set("Request-Id", fmt.Sprint("once-", n))
+		got := d.request(0, http.MethodPost, "/once/x", header, nil)
+		if sent := posts.Load() - before; sent != 1 {
+			t.Errorf("got the request sent %d times, want once", sent)
+		}
+		if outcome := got.Header.Get("Celerypin-Outcome"); outcome != "outcome_unknown" {
+			t.Errorf("got outcome %q, want outcome_unknown", outcome)
+		}
+	}
+}
+
+// acceptAll answers load reports, and closes connections on which it has read
+// any other request.
+func acceptAll(listener net.Listener, posts *atomic.Int64) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil && request.Method == http.MethodPost {
+				posts.Add(1)
+			}
+		}()
+	}
+}
+
+// TestPromiseWholeAnswerOrError lets an upstream cut its answers, or give answers
+// that belong to others, and checks that none is passed on as whole.
+func TestPromiseWholeAnswerOrError(t *testing.T) {
+	d := newDeployment(t, 1)
+	w := d.workers["swaps-1"]
+	w.SetKnobs(upstream.Knobs{CutAnswers: true})
+	if got := d.post(0, "/once/cut", "cut", "x"); got.err == nil {
+		t.Errorf("got %d %q without an error for an answer that was cut, want an error", got.StatusCode, got.body)
+	}
+	w.SetKnobs(upstream.Knobs{SwapAnswers: true})
+	got := d.post(0, "/once/swapped", "swapped", "x")
+	if outcome := got.Header.Get("Celerypin-Outcome"); outcome != "outcome_unknown" || strings.Contains(got.body, "another\"") {
+		t.Errorf("got outcome %q, body %q for a foreign answer, want outcome_unknown without it", outcome, got.body)
+	}
+}
+
+// TestPromiseUploadCutShortIsNotWhole ends an upload half way, and checks that the
+// upstream does not take it for whole.
+func TestPromiseUploadCutShortIsNotWhole(t *testing.T) {
+	d := newDeployment(t, 1)
+	conn, err := net.Dial("tcp", d.hosts[0].CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	half := strings.Repeat("x", 1<<20)
+	fmt.Fprintf(conn, "POST /upload/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nRequest-Id: cut-upload\r\nContent-Length: %d\r\n\r\n%s", testKey, 2*len(half), half)
+	time.Sleep(100 * time.Millisecond)
+	conn.Close()
+	d.eventually("the upload to reach the journal", func() bool { return d.executions("photos-1", "cut-upload") > 0 })
+	for _, e := range d.workers["photos-1"].Journal() {
+		if e.Request == "cut-upload" && e.Complete {
+			t.Errorf("got an upload of %d bytes taken for whole, want it cut", e.Bytes)
+		}
+	}
+	body := strings.Repeat("photo", 4<<20)
+	if got := d.post(0, "/upload/2", "whole-upload", body); got.StatusCode != http.StatusOK || !strings.Contains(got.body, fmt.Sprint(len(body))) {
+		t.Errorf("got %d %s for an upload of %d bytes, want it whole", got.StatusCode, got.body, len(body))
+	}
+}
+
+// TestPromiseNotRunIsTrue refuses requests for several reasons and checks that
+// none of them reached an upstream.
+func TestPromiseNotRunIsTrue(t *testing.T) {
+	d := newDeployment(t, 1)
+	for _, c := range []struct {
+		name   string
+		do     func() answer
+		reason string
+	}{
+		{"no key", func() answer {
+			return d.request(0, http.MethodGet, "/read/x", http.Header{"Authorization": nil}, nil)
+		}, "key_missing"},
+		{"unknown key", func() answer {
+			return d.request(0, http.MethodGet, "/read/x", http.Header{"Authorization": {"Bearer another"}}, nil)
+		}, "key_rejected"},
+		{"no route", func() answer { return d.request(0, http.MethodGet, "/nowhere", nil, nil) }, "no_route"},
+		{"no request id", func() answer { return d.request(0, http.MethodPost, "/once/x", nil, strings.NewReader("x")) }, "request_id_missing"},
+		{"bad deadline", func() answer {
+			return d.request(0, http.MethodGet, "/read/x", http.Header{"Request-Deadline-Ms": {"soon"}}, nil)
+		}, "malformed"},
+		{"body too large", func() answer { return d.post(0, "/once/x", "large", strings.Repeat("x", 1<<17)) }, "body_too_large"},
+		{"store out", func() answer {
+			d.platform.SetKnobs(platformprotocol.Knobs{Mode: platformprotocol.ModeOut})
+			defer d.platform.SetKnobs(platformprotocol.Knobs{Mode: platformprotocol.ModeUp})
+			return d.request(0, http.MethodPost, "/once/x", http.Header{"Request-Id": {"store-out"}, "Request-Deadline-Ms": {"500"}}, strings.NewReader("x"))
+		}, "claim_unavailable"},
+		{"upstream sheds", func() answer {
+			d.workers["swaps-1"].SetKnobs(upstream.Knobs{Draining: true})
+			return d.request(0, http.MethodPost, "/once/x", http.Header{"Request-Id": {"shed"}, "Request-Deadline-Ms": {"500"}}, strings.NewReader("x"))
+		}, "upstreams_busy"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := d.ran()
+			got := c.do()
+			if got.Header.Get("Celerypin-Outcome") != "not_run" || got.Header.Get("Celerypin-Reason") != c.reason {
+				t.Errorf("got %s %s, want not_run %s", got.Header.Get("Celerypin-Outcome"), got.body, c.reason)
+			}
+			if ran := d.ran() - before; ran != 0 {
+				t.Errorf("got %d executions of a request that was refused as not run, want none", ran)
+			}
+		})
+	}
+}
+
+func (d *deployment) ran() int {
+	n := 0
+	for _, w := range d.workers {
+		n += len(w.Journal())
+	}
+	return n
+}
+
+// TestPromiseWithdrawnKeyOnOpenConnection withdraws a key while a connection that
+// used it is still open.
+func TestPromiseWithdrawnKeyOnOpenConnection(t *testing.T) {
+	d := newDeployment(t, 2)
+	for n := range d.hosts {
+		if got := d.request(n, http.MethodGet, "/read/x", nil, nil); got.StatusCode != http.StatusOK {
+			t.Fatalf("got %d before the withdrawal, want 200", got.StatusCode)
+		}
+	}
+	withdrawn, err := operator.Send[operatorprotocol.KeyWithdraw, operatorprotocol.KeyWithdrawn](
+		context.Background(), d.operator(0), http.MethodPost, operatorprotocol.WithdrawPath, operatorprotocol.KeyWithdraw{Key: testKey})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(withdrawn.InForce) != len(d.hosts) || !withdrawn.Recorded {
+		t.Errorf("got %+v, want it in force on all hosts and recorded", withdrawn)
+	}
+	for n := range d.hosts {
+		if got := d.request(n, http.MethodGet, "/read/x", nil, nil); got.Header.Get("Celerypin-Reason") != "key_rejected" {
+			t.Errorf("host %d: got %d %s after the withdrawal, want key_rejected", n, got.StatusCode, got.body)
+		}
+	}
+}
+
+// TestPromiseGracefulStopCutsNoRequest stops a host while requests run and others
+// come, and checks that every one is answered.
+func TestPromiseGracefulStopCutsNoRequest(t *testing.T) {
+	d := newDeployment(t, 2)
+	stopped := make(chan struct{})
+	go func() {
+		d.hosts[1].Stop(context.Background())
+		close(stopped)
+	}()
+	running := true
+	served := 0
+	for n := 0; running; n++ {
+		select {
+		case <-stopped:
+			running = false
+		case <-time.After(10 * time.Millisecond):
+			if served < 100 {
+				if got := d.post(1, "/once/stop", fmt.Sprint("stop-", n), "x"); got.err != nil || got.StatusCode != http.StatusOK {
+					t.Errorf("request %d: got %d %s %v while the host stops, want it served", n, got.StatusCode, got.body, got.err)
+				}
+				served++
+			}
+		}
+	}
+	d.eventually("the look-up to drop the host", func() bool {
+		got := d.request(0, http.MethodGet, "/celerypin/v1/lookup", nil, nil)
+		return got.StatusCode == http.StatusOK && !strings.Contains(got.body, "host-b")
+	})
+}
--- a/internal/transport/caller/header.go
+++ b/internal/transport/caller/header.go
@@ -70,7 +70,11 @@
 	return err != nil || carries(query, clear)
 }
 
-func carries(text, clear string) bool { return strings.Contains(text, clear) }
+// carries tells whether text contains the key in any case, because names of
+// headers change their case on the way.
+func carries(text, clear string) bool {
+	return strings.Contains(strings.ToLower(text), strings.ToLower(clear))
+}
 
 func copyAnswerHeader(out, in http.Header) {
 	for name, values := range in {
--- a/pkg/coordination/agent/agent.go
+++ b/pkg/coordination/agent/agent.go
@@ -121,7 +121,6 @@
 	reading       bool
 	nextRead      clock.Instant
 	nextLevels    clock.Instant
-	levels        []Level
 	nextPublish   clock.Instant
 	publishDue    bool
 	fetchAfter    clock.Instant
--- a/pkg/coordination/agent/fleet_test.go
+++ b/pkg/coordination/agent/fleet_test.go
@@ -34,7 +34,6 @@
 	store    storeFault
 	hosts    []*simHost
 	admitted map[id.Account][]admission
-	bytes    int
 	messages int
 	// ungated makes hosts spend whether or not they may serve keyed requests, to
 	// test budgets on their own.
