Let an aborted answer end the caller's connection

Cause: the router's adapter for handlers of the standard library recovers every panic, so http.ErrAbortHandler did not reach the server, and an answer without an announced length that the upstream had cut was passed on as whole. Ruled out: the copying of the answer (it did see the error). Change: an adapter of our own. Seen failing: TestPromiseWholeAnswerOrError with answers cut in the middle of a chunked body (200 without an error); passes now.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"celerypin.example/celerypin/internal/transport/host"
 	"celerypin.example/celerypin/internal/transport/operator"
 	"celerypin.example/celerypin/internal/transport/platform"
+	"celerypin.example/celerypin/internal/transport/route"
 	"celerypin.example/celerypin/internal/transport/upstream"
 	"celerypin.example/celerypin/pkg/coordination/admit"
 	"celerypin.example/celerypin/pkg/coordination/agent"
@@ -140,7 +141,7 @@
 
 func (h *Host) hostRoutes() http.Handler {
 	router := bunrouter.New()
-	router.GET(hostprotocol.Path, bunrouter.HTTPHandlerFunc(h.mesh.Accept))
+	router.GET(hostprotocol.Path, route.Handler(h.mesh.Accept))
 	return router
 }
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -20,6 +20,7 @@
 
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/internal/protocol/platform"
+	"celerypin.example/celerypin/internal/transport/route"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -110,15 +111,15 @@
 	router.POST(platform.UpstreamsPath, s.guard(s.tell))
 	router.GET(platform.ObjectsPath+"*name", s.guard(s.getObject))
 	router.PUT(platform.ObjectsPath+"*name", s.guard(s.putObject))
-	router.GET(platform.KnobsPath, bunrouter.HTTPHandlerFunc(s.getKnobs))
-	router.PUT(platform.KnobsPath, bunrouter.HTTPHandlerFunc(s.putKnobs))
-	router.GET(platform.CountsPath, bunrouter.HTTPHandlerFunc(s.counts))
+	router.GET(platform.KnobsPath, route.Handler(s.getKnobs))
+	router.PUT(platform.KnobsPath, route.Handler(s.putKnobs))
+	router.GET(platform.CountsPath, route.Handler(s.counts))
 	return router
 }
 
 // guard applies the faults to a handler.
 func (s *Server) guard(h http.HandlerFunc) bunrouter.HandlerFunc {
-	return bunrouter.HTTPHandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return route.Handler(func(w http.ResponseWriter, r *http.Request) {
 		knobs, unblock := s.current()
 		host := id.Host(r.Header.Get(platform.HostHeader))
 		if knobs.Mode == platform.ModeSilent || slices.Contains(knobs.CutHosts, host) {
--- a/internal/standin/upstream/worker.go
+++ b/internal/standin/upstream/worker.go
@@ -21,6 +21,7 @@
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/internal/protocol/settings"
 	"celerypin.example/celerypin/internal/protocol/upstream"
+	"celerypin.example/celerypin/internal/transport/route"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 )
@@ -101,10 +102,10 @@
 	}
 	w := &Worker{settings: s, clock: c, started: c.Now(), listener: listener}
 	router := bunrouter.New()
-	router.GET(upstream.ReportPath, bunrouter.HTTPHandlerFunc(w.report))
-	router.PUT(KnobsPath, bunrouter.HTTPHandlerFunc(w.putKnobs))
-	router.GET(JournalPath, bunrouter.HTTPHandlerFunc(w.getJournal))
-	run := bunrouter.HTTPHandlerFunc(w.run)
+	router.GET(upstream.ReportPath, route.Handler(w.report))
+	router.PUT(KnobsPath, route.Handler(w.putKnobs))
+	router.GET(JournalPath, route.Handler(w.getJournal))
+	run := route.Handler(w.run)
 	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodDelete} {
 		router.Handle(method, "/*path", run)
 	}
@@ -216,8 +217,8 @@
 		answer.Mark = "another"
 		write(out, http.StatusOK, answer)
 	case knobs.CutAnswers:
-		out.Header().Set("Content-Length", "1000")
 		_, _ = out.Write([]byte(`{"upstream":`))
+		_ = http.NewResponseController(out).Flush()
 		panic(http.ErrAbortHandler)
 	case rand.IntN(100) < knobs.FailPercent:
 		write(out, http.StatusInternalServerError, answer)
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -16,6 +16,7 @@
 
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/caller"
+	"celerypin.example/celerypin/internal/transport/route"
 	transport "celerypin.example/celerypin/internal/transport/upstream"
 	"celerypin.example/celerypin/pkg/coordination/admit"
 	"celerypin.example/celerypin/pkg/coordination/claim"
@@ -78,8 +79,8 @@
 
 // Register adds the routes of callers to a router.
 func (s *Server) Register(router *bunrouter.Router) {
-	router.GET(caller.LookupPath, bunrouter.HTTPHandlerFunc(s.lookUp))
-	handle := bunrouter.HTTPHandlerFunc(s.forward)
+	router.GET(caller.LookupPath, route.Handler(s.lookUp))
+	handle := route.Handler(s.forward)
 	for _, method := range []string{
 		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
 	} {
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -18,6 +18,7 @@
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/internal/protocol/operator"
 	"celerypin.example/celerypin/internal/protocol/settings"
+	"celerypin.example/celerypin/internal/transport/route"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/coordination/commit"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -94,7 +95,7 @@
 
 // guard checks the operator's token and writes the handler's result.
 func (s *Server) guard(h handler) bunrouter.HandlerFunc {
-	return bunrouter.HTTPHandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return route.Handler(func(w http.ResponseWriter, r *http.Request) {
 		token := r.Header.Get(operator.TokenHeader)
 		if subtle.ConstantTimeCompare([]byte(token), []byte(s.Token)) != 1 {
 			write(w, http.StatusForbidden, operator.Error{Code: operator.CodeForbidden, Message: "the operator's token is missing or wrong"})
