--- a/internal/layers/layers.go
+++ b/internal/layers/layers.go
@@ -34,6 +34,7 @@
 	{"cmd/", Assembly},
 	{"internal/logging/", Support},
 	{"internal/layers/", Support},
+	{"internal/golden/", Support},
 }
 
 // Of returns the layer of a package, named by its path below the module.
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -70,6 +70,7 @@
 	from := Of(dir + "/")
 	target, own := strings.CutPrefix(imported, module)
 	switch {
+	case own && test && Of(target+"/") == Support:
 	case own && !MayImport(from, Of(target+"/")):
 		return "must not import " + target
 	case !own && !test && from <= Coordination && BannedBelow(imported):
--- /dev/null
+++ b/internal/protocol/host/host_test.go
@@ -0,0 +1,144 @@
+package host
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"celerypin.example/celerypin/internal/golden"
+	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/pkg/coordination/agent"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// examples holds one message of each kind.
+func examples() []struct {
+	name    string
+	message agent.Message
+} {
+	hash := key.NewHasher([]byte("secret")).Hash("key")
+	cfg := config.Config{
+		Accounts: []config.Account{{ID: "parish", RatePerSecond: 5, Burst: 8}},
+		Classes:  []config.Class{{ID: "read", Deadline: config.Duration(time.Second), Idempotent: true, MaxBody: 1}},
+	}
+	return []struct {
+		name    string
+		message agent.Message
+	}{
+		{"heartbeat", agent.Message{Heartbeat: &agent.Heartbeat{
+			Incarnation: 7, Region: "western", FailureDomain: "western-a", Sent: 12, Echo: 11, EchoHeld: 3,
+			ReadAge: agent.Age{Known: true, Since: 5}, UpAge: agent.Age{Known: true}, Complete: 42, Config: 6,
+			Marks: []key.Hash{hash}, Levels: []agent.Level{{Account: "parish", Demand: unit.Whole(2), Tokens: unit.Token, Applied: 41}},
+		}}},
+		{"relay", agent.Message{Relay: &agent.Relay{Changes: table.Changes{After: 1, Revision: 3, Rows: []table.Row{
+			{Key: table.ConfigKey, Revision: 2, Operation: "op", Config: &cfg},
+			{Key: table.GrantKey(hash), Revision: 3, Grant: &key.Record{Hash: hash, Account: "parish"}},
+		}}}}},
+		{"fetch", agent.Message{Fetch: &agent.Fetch{After: 9}}},
+		{"borrow", agent.Message{Borrow: &agent.Borrow{Loan: 1, Account: "parish", Amount: unit.Token}}},
+		{"loan", agent.Message{Loan: &agent.Loan{Loan: 1, Account: "parish", Amount: unit.Token}}},
+		{"repay", agent.Message{Repay: &agent.Repay{Loan: 1, Account: "parish", Unspent: 0}}},
+		{"marks", agent.Message{Marks: &agent.Marks{Hashes: []key.Hash{hash}}}},
+		{"marks held", agent.Message{MarksHeld: &agent.MarksHeld{Hashes: []key.Hash{hash}}}},
+	}
+}
+
+func TestMessages(t *testing.T) {
+	var text strings.Builder
+	for _, e := range examples() {
+		data, err := Encode("host-a", "host-b", e.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		shown, err := cbor.Diagnose(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text.WriteString(e.name + ":\n" + shown + "\n\n")
+		from, to, got, err := Decode(data)
+		if err != nil || from != "host-a" || to != "host-b" {
+			t.Errorf("%s: got %s, %s, %v, want host-a, host-b, no error", e.name, from, to, err)
+		}
+		if !reflect.DeepEqual(got, e.message) {
+			t.Errorf("%s: got %+v after decoding, want %+v", e.name, got, e.message)
+		}
+	}
+	golden.Check(t, "messages.golden", []byte(text.String()))
+}
+
+func TestMalformedMessages(t *testing.T) {
+	for name, data := range map[string][]byte{
+		"empty":         {},
+		"no content":    {0xa2, 0x64, 'f', 'r', 'o', 'm', 0x61, 'a', 0x62, 't', 'o', 0x61, 'b'},
+		"unknown field": {0xa1, 0x61, 'x', 0x01},
+		"cut":           {0xa2, 0x64, 'f', 'r'},
+		"text":          []byte(`{"from":"a"}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, _, err := Decode(data)
+			if !errors.Is(err, codec.ErrMalformed) && !errors.Is(err, ErrEmpty) {
+				t.Errorf("got %v, want ErrMalformed or ErrEmpty", err)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, e := range examples() {
+		data, err := Encode("a", "b", e.message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		from, to, m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(from, to, m)
+		if err != nil {
+			t.Fatalf("a decoded message could not be encoded: %v", err)
+		}
+		if _, _, _, err := Decode(again); err != nil {
+			t.Fatalf("an encoded message could not be decoded: %v", err)
+		}
+	})
+}
+
+// BenchmarkHeartbeat measures the size and the cost of a heartbeat, with and
+// without the levels of eight accounts.
+func BenchmarkHeartbeat(b *testing.B) {
+	plain := agent.Heartbeat{
+		Incarnation: 1796379830367, Region: "western", FailureDomain: "western-a", Sent: 1 << 50, Echo: 1 << 50, EchoHeld: 1 << 27,
+		ReadAge: agent.Age{Known: true, Since: 1 << 28}, UpAge: agent.Age{Known: true, Since: 1 << 28}, Complete: 1 << 20, Config: 1 << 19,
+	}
+	levels := plain
+	for range 8 {
+		levels.Levels = append(levels.Levels, agent.Level{Account: "st-anthony-kochchikade", Demand: 1 << 26, Tokens: 1 << 26, Applied: 1 << 20})
+	}
+	for name, beat := range map[string]agent.Heartbeat{"plain": plain, "levels of 8 accounts": levels} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				data, err := Encode("western-1", "central-1", agent.Message{Heartbeat: &beat})
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, _, _, err := Decode(data); err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes/message")
+		})
+	}
+}
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -99,8 +99,21 @@
 // DecodeConfig reads a configuration document and checks its references too.
 func DecodeConfig(file string, data []byte) (config.Config, error) {
 	c, err := Decode[config.Config](file, data)
-	faults := FromReferences(file, c.References())
-	return c, errors.Join(append([]error{err}, faults...)...)
+	reported := map[string]bool{}
+	faults := Faults(err)
+	for _, fault := range faults {
+		var f Fault
+		if errors.As(fault, &f) {
+			reported[f.Field] = true
+		}
+	}
+	for _, fault := range FromReferences(file, c.References()) {
+		var f Fault
+		if errors.As(fault, &f) && !reported[f.Field] {
+			faults = append(faults, fault)
+		}
+	}
+	return c, errors.Join(faults...)
 }
 
 // Faults splits a joined error into its parts.
--- a/internal/protocol/settings/strict.go
+++ b/internal/protocol/settings/strict.go
@@ -88,7 +88,7 @@
 	decoder.UseNumber()
 	var tree any
 	if err := decoder.Decode(&tree); err != nil {
-		line := 1 + bytes.Count(data[:min(int(decoder.InputOffset()), len(data))], []byte("\n"))
+		line := 1 + bytes.Count(data[:faultOffset(err, data)], []byte("\n"))
 		return nil, Fault{file, fmt.Sprintf("line %d", line), "a JSON object", err.Error()}
 	}
 	if decoder.More() {
@@ -100,6 +100,15 @@
 	return tree, nil
 }
 
+// faultOffset returns where in data a syntax error is.
+func faultOffset(err error, data []byte) int {
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return len(data)
+	}
+	return min(int(syntax.Offset), len(data))
+}
+
 // walker compares a parsed document with the type it should have.
 type walker struct {
 	file   string
@@ -108,7 +117,7 @@
 }
 
 func (w *walker) fault(path, want string, got any) {
-	w.faults = append(w.faults, Fault{w.file, path, want, describe(got)})
+	w.faults = append(w.faults, Fault{w.file, path, want, describeField(path, got)})
 	w.bad = append(w.bad, path)
 }
 
@@ -169,7 +178,7 @@
 	for _, name := range sortedKeys(fields) {
 		field, exists := known[name]
 		if !exists {
-			w.fault(join(path, name), "one of "+strings.Join(sortedKeys(known), ", "), "an unknown field")
+			w.fault(join(path, name), "one of "+strings.Join(sortedKeys(known), ", "), unquoted("an unknown field"))
 			continue
 		}
 		w.value(join(path, name), fields[name], field)
@@ -250,7 +259,7 @@
 	var faults []error
 	for _, e := range invalid {
 		_, field, _ := strings.Cut(e.Namespace(), ".")
-		faults = append(faults, Fault{file, field, expectation(e), describe(e.Value())})
+		faults = append(faults, Fault{file, field, expectation(e), describeField(field, e.Value())})
 	}
 	return faults
 }
@@ -301,10 +310,26 @@
 	return out
 }
 
+// unquoted is text that describes a value rather than being one.
+type unquoted string
+
+// secretFields are fields whose values are never shown.
+var secretFields = []string{"fleet_secret", "operator_token", "key"}
+
+func describeField(path string, v any) string {
+	name := path[strings.LastIndex(path, ".")+1:]
+	if text, ok := v.(string); ok && text != "" && slices.Contains(secretFields, name) {
+		return fmt.Sprintf("%d characters", len(text))
+	}
+	return describe(v)
+}
+
 func describe(v any) string {
 	switch value := v.(type) {
 	case nil:
 		return "nothing"
+	case unquoted:
+		return string(value)
 	case string:
 		if value == "" {
 			return "nothing"
@@ -315,6 +340,9 @@
 	case []any:
 		return "a list"
 	default:
+		if named := reflect.ValueOf(v); named.Kind() == reflect.String {
+			return describe(named.String())
+		}
 		return fmt.Sprint(value)
 	}
 }
--- a/pkg/coordination/agent/measure_test.go
+++ b/pkg/coordination/agent/measure_test.go
@@ -1,15 +1,13 @@
 package agent
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"text/tabwriter"
 	"time"
 
+	"celerypin.example/celerypin/internal/golden"
 	"celerypin.example/celerypin/pkg/coordination/budget"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/config"
@@ -17,8 +15,6 @@
 	"celerypin.example/celerypin/pkg/state/unit"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // workload is what the callers of a deployment do.
 type workload struct {
 	name    string
@@ -334,26 +330,5 @@
 		}
 	}
 	_ = out.Flush()
-	golden(t, "wrongful_refusals.golden", text.String())
-}
-
-// golden compares text with a golden file.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.MkdirAll("testdata", 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("got:\n%s\nwant (%s):\n%s", got, path, want)
-	}
+	golden.Check(t, "wrongful_refusals.golden", []byte(text.String()))
 }
