--- /dev/null
+++ b/internal/daemon/bench_test.go
@@ -0,0 +1,140 @@
+package daemon
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rcrowley/go-metrics"
+	"github.com/uptrace/bunrouter"
+
+	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/internal/protocol/settings"
+	standin "celerypin.example/celerypin/internal/standin/upstream"
+	"celerypin.example/celerypin/internal/transport/caller"
+	"celerypin.example/celerypin/internal/transport/upstream"
+	"celerypin.example/celerypin/pkg/coordination/admit"
+	"celerypin.example/celerypin/pkg/coordination/budget"
+	"celerypin.example/celerypin/pkg/coordination/claim"
+	"celerypin.example/celerypin/pkg/coordination/lookup"
+	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/rcu"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// pathServer is the path of a request on its own, with a budget that never ends.
+func pathServer(b *testing.B, worker string) *httptest.Server {
+	b.Helper()
+	c := clock.System{}
+	lease := &budget.Lease{}
+	lease.Extend(c.Now().Add(time.Hour))
+	pool := budget.New[id.Account, unit.Tokens](lease)
+	pool.Set("parish", budget.Share[unit.Tokens]{Rate: unit.Whole(100_000_000), Burst: unit.Whole(1_000_000)}, c.Now().Add(-time.Second))
+	hasher := key.NewHasher([]byte(testSecret))
+	ring := key.NewRing([]key.Record{{Hash: hasher.Hash(testKey), Account: "parish"}}, nil)
+	picker := pick.New()
+	picker.Update([]fleet.Upstream{{ID: "w", Service: "reads", Region: "r0", Address: worker, Slots: 1024, State: fleet.UpstreamLive}})
+	server := caller.New(caller.Parts{
+		Host: "host", Region: "r0",
+		Gate:   &admit.Gate{Config: rcu.New(config.Compile(testConfig)), Ring: rcu.New(ring), Keyed: lease, Pool: pool},
+		Lookup: rcu.New(lookup.New(lookup.Inputs{Hosts: []fleet.Host{{ID: "host", Region: "r0", Address: "127.0.0.1:1"}}, Keep: time.Second})),
+		Hasher: hasher, Picker: picker, Claims: claim.New("host", 1, table.NewMemory(), c),
+		Forwarder: upstream.NewForwarder("bench-", c), Clock: c, Log: logging.Discard(), Metrics: metrics.NewRegistry(),
+	})
+	router := bunrouter.New()
+	server.Register(router)
+	out := httptest.NewServer(router)
+	b.Cleanup(out.Close)
+	return out
+}
+
+// benchWorker is an upstream that answers at once.
+func benchWorker(b *testing.B) string {
+	b.Helper()
+	w, err := standin.New(settings.Worker{ID: "w", Service: "reads", Listen: "127.0.0.1:0", Slots: 1024}, clock.System{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	w.Start()
+	b.Cleanup(w.Close)
+	return w.Address()
+}
+
+// BenchmarkForward compares a request that goes straight to the upstream, one
+// through a plain reverse proxy of the standard library, and one through the
+// path of a host.
+func BenchmarkForward(b *testing.B) {
+	worker := benchWorker(b)
+	target, err := url.Parse("http://" + worker)
+	if err != nil {
+		b.Fatal(err)
+	}
+	reverse := httputil.NewSingleHostReverseProxy(target)
+	reverse.Transport = &http.Transport{MaxIdleConnsPerHost: 64}
+	proxy := httptest.NewServer(reverse)
+	b.Cleanup(proxy.Close)
+	host := pathServer(b, worker)
+	for _, c := range []struct{ name, base string }{
+		{"direct", "http://" + worker}, {"reverse proxy", proxy.URL}, {"host", host.URL},
+	} {
+		b.Run(c.name, func(b *testing.B) { benchRequests(b, c.base+"/read/x") })
+	}
+}
+
+// BenchmarkLookupHTTP measures look-ups as they are served.
+func BenchmarkLookupHTTP(b *testing.B) {
+	host := pathServer(b, "127.0.0.1:1")
+	benchRequests(b, host.URL+"/celerypin/v1/lookup")
+}
+
+// benchRequests sends requests from several threads and reports quantiles.
+func benchRequests(b *testing.B, target string) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	all := hdrhistogram.New(1, 10_000_000, 3)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		own := hdrhistogram.New(1, 10_000_000, 3)
+		for pb.Next() {
+			start := time.Now()
+			if !get(client, target) {
+				b.Fail()
+			}
+			_ = own.RecordValue(time.Since(start).Microseconds())
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		all.Merge(own)
+	})
+	b.ReportMetric(float64(all.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(all.ValueAtQuantile(99)), "p99-us")
+}
+
+func get(client *http.Client, target string) bool {
+	request, err := http.NewRequest(http.MethodGet, target, nil)
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
--- a/internal/protocol/settings/strict.go
+++ b/internal/protocol/settings/strict.go
@@ -328,6 +328,8 @@
 	switch value := v.(type) {
 	case nil:
 		return "nothing"
+	case json.Number:
+		return value.String()
 	case unquoted:
 		return string(value)
 	case string:
--- a/pkg/state/config/check.go
+++ b/pkg/state/config/check.go
@@ -69,7 +69,7 @@
 		u.seen = map[string]bool{}
 	}
 	if u.seen[value] {
-		return append(faults, FieldError{field, "a " + u.kind + " used once", fmt.Sprintf("%q again", value)})
+		return append(faults, FieldError{field, "each " + u.kind + " once", fmt.Sprintf("%q again", value)})
 	}
 	u.seen[value] = true
 	return faults
