--- a/cmd/celerypin/cmds/config.go
+++ b/cmd/celerypin/cmds/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -38,6 +39,12 @@
 				Flags: operatorFlags(&cli.Uint64Flag{Name: "from", Usage: "the `REVISION` that the change was made from"}),
 			},
 			{Name: "status", Usage: "show the revision in force on each host", Flags: operatorFlags(), Action: configStatus},
+			{
+				Name: "history", Usage: "list the configurations that were in force, latest first", Action: configHistory,
+				Flags: operatorFlags(&cli.Uint64Flag{Name: "revision", Usage: "print the configuration of this `REVISION` only"}),
+				Description: "To take a change back, print an earlier one with --revision and apply it again.\n\n" +
+					"Example: celerypin config history --revision 6 > back.json && celerypin config apply back.json",
+			},
 			{Name: "show", Usage: "print the configuration in force", Flags: operatorFlags(), Action: configShow},
 		},
 	}
@@ -184,6 +191,38 @@
 	})
 }
 
+// ErrNoRevision means that a configuration is not kept.
+var ErrNoRevision = errors.New("no configuration of this revision is kept")
+
+func configHistory(ctx context.Context, c *cli.Command) error {
+	history, err := operator.Get[protocol.History](ctx, clientOf(c), protocol.HistoryPath)
+	if err != nil {
+		return err
+	}
+	if c.IsSet("revision") {
+		return printRevision(c, history, table.Revision(c.Uint64("revision")))
+	}
+	return printerOf(c).print(history, func() [][]string {
+		rows := [][]string{{"REVISION", "ACCOUNTS", "CLASSES", "ROUTES", "CLIENT BLOCKS"}}
+		for _, e := range history.Entries {
+			rows = append(rows, []string{
+				fmt.Sprint(e.Revision), fmt.Sprint(len(e.Config.Accounts)), fmt.Sprint(len(e.Config.Classes)),
+				fmt.Sprint(len(e.Config.Routes)), fmt.Sprint(len(e.Config.ClientBlocks)),
+			})
+		}
+		return rows
+	})
+}
+
+func printRevision(c *cli.Command, history protocol.History, revision table.Revision) error {
+	for _, e := range history.Entries {
+		if e.Revision == revision {
+			return printer{json: true, out: c.Root().Writer}.print(e.Config, nil)
+		}
+	}
+	return fmt.Errorf("%w: %d", ErrNoRevision, revision)
+}
+
 func configShow(ctx context.Context, c *cli.Command) error {
 	current, err := currentConfig(ctx, c)
 	if err != nil {
--- a/internal/protocol/operator/operator.go
+++ b/internal/protocol/operator/operator.go
@@ -12,6 +12,7 @@
 // Paths of the interface. All need the operator's token.
 const (
 	ConfigPath   = "/celerypin/v1/operator/config"
+	HistoryPath  = "/celerypin/v1/operator/config/history"
 	KeysPath     = "/celerypin/v1/operator/keys"
 	WithdrawPath = "/celerypin/v1/operator/keys/withdraw"
 	HostsPath    = "/celerypin/v1/operator/hosts"
@@ -30,6 +31,11 @@
 	Config   config.Config  `json:"config"`
 }
 
+// History lists the configuration in force and the ones before it, latest first.
+type History struct {
+	Entries []ConfigDocument `json:"entries"`
+}
+
 // ConfigApplied tells that a configuration was committed and where it is in force.
 type ConfigApplied struct {
 	Revision table.Revision `json:"revision"`
--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -52,7 +52,7 @@
 		return
 	}
 	s.served.Inc(1)
-	s.latency.Update(s.Clock.Now().Sub(start))
+	s.latency.Update(s.Clock.Now().Sub(start).Microseconds())
 }
 
 // run carries the request through all its steps. It returns nil once an answer
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -51,6 +51,9 @@
 	Metrics   metrics.Registry
 }
 
+// latencySample is the number of latencies that the histogram keeps.
+const latencySample = 1028
+
 // Server answers callers. It is safe for concurrent use; a request reads
 // snapshots only and takes no lock.
 type Server struct {
@@ -61,7 +64,7 @@
 	refused  metrics.Counter
 	unknown  metrics.Counter
 	lookups  metrics.Counter
-	latency  metrics.Timer
+	latency  metrics.Histogram
 }
 
 // New returns a server made of parts.
@@ -73,7 +76,7 @@
 		refused: metrics.NewRegisteredCounter("requests.refused_not_run", p.Metrics),
 		unknown: metrics.NewRegisteredCounter("requests.outcome_unknown", p.Metrics),
 		lookups: metrics.NewRegisteredCounter("lookups.answered", p.Metrics),
-		latency: metrics.NewRegisteredTimer("requests.latency", p.Metrics),
+		latency: metrics.NewRegisteredHistogram("requests.latency_us", p.Metrics, metrics.NewUniformSample(latencySample)),
 	}
 }
 
--- /dev/null
+++ b/internal/transport/host/mesh_test.go
@@ -0,0 +1,200 @@
+package host
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/pkg/coordination/agent"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// patience bounds the wait for something that must happen; it is no target.
+const patience = 20 * time.Second
+
+// recorder is the owner of a mesh.
+type recorder struct {
+	mu       sync.Mutex
+	received int
+	refused  int
+}
+
+func (r *recorder) Received(id.Host, agent.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.received++
+}
+
+func (r *recorder) Refused(id.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused++
+}
+
+func (r *recorder) counts() (received, refused int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.received, r.refused
+}
+
+// node is a mesh that listens.
+type node struct {
+	mesh   *Mesh
+	events *recorder
+	server *httptest.Server
+}
+
+func newNode(t *testing.T, name id.Host, secret string) *node {
+	n := &node{events: &recorder{}}
+	n.mesh = New(name, []byte(secret), n.events, logging.Discard(), clock.System{})
+	n.server = httptest.NewServer(http.HandlerFunc(n.mesh.Accept))
+	t.Cleanup(n.server.Close)
+	t.Cleanup(n.mesh.Close)
+	return n
+}
+
+func (n *node) address() string { return strings.TrimPrefix(n.server.URL, "http://") }
+
+// exchange sends heartbeats both ways until the condition holds.
+func exchange(t *testing.T, a, b *node, done func() bool) {
+	t.Helper()
+	beat := agent.Message{Heartbeat: &agent.Heartbeat{Incarnation: 1}}
+	for until := time.Now().Add(patience); !done(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("waited in vain for messages to pass")
+		}
+		a.mesh.Send("b", beat)
+		b.mesh.Send("a", beat)
+	}
+}
+
+func TestMessagesPassBothWays(t *testing.T) {
+	a, b := newNode(t, "a", "secret"), newNode(t, "b", "secret")
+	a.mesh.SetAddress("b", b.address())
+	b.mesh.SetAddress("a", a.address())
+	exchange(t, a, b, func() bool {
+		fromB, _ := a.events.counts()
+		fromA, _ := b.events.counts()
+		return fromA > 0 && fromB > 0
+	})
+}
+
+// blackhole is a relay that can stop to pass data on connections that are open,
+// while new ones work, as if something between the ends had lost track of them.
+type blackhole struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	silent   map[net.Conn]bool
+	accepted int
+}
+
+func newBlackhole(t *testing.T, target string) *blackhole {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &blackhole{listener: listener, target: target, silent: map[net.Conn]bool{}}
+	t.Cleanup(func() { listener.Close() })
+	go b.accept()
+	return b
+}
+
+func (b *blackhole) accept() {
+	for {
+		conn, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		onward, err := net.Dial("tcp", b.target)
+		if err != nil {
+			conn.Close()
+			continue
+		}
+		b.mu.Lock()
+		b.accepted++
+		b.silent[conn] = false
+		b.mu.Unlock()
+		go b.pass(conn, onward, conn)
+		go b.pass(onward, conn, conn)
+	}
+}
+
+// pass copies data until the connection is silenced; it then reads and drops.
+func (b *blackhole) pass(to, from, name net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			if err == io.EOF {
+				to.Close()
+			}
+			return
+		}
+		b.mu.Lock()
+		silent := b.silent[name]
+		b.mu.Unlock()
+		if !silent {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+func (b *blackhole) silence() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for conn := range b.silent {
+		b.silent[conn] = true
+	}
+}
+
+// TestSilentConnectionIsReplaced silences an open connection for good and checks
+// that messages pass again on a new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	a, b := newNode(t, "a", "secret"), newNode(t, "b", "secret")
+	relay := newBlackhole(t, b.address())
+	a.mesh.SetAddress("b", relay.listener.Addr().String())
+	received := func() int { n, _ := b.events.counts(); return n }
+	exchange(t, a, b, func() bool { return received() > 3 })
+	relay.silence()
+	before := received()
+	exchange(t, a, b, func() bool { return received() > before+10 })
+	if relay.accepted < 2 {
+		t.Errorf("got %d connections, want a new one", relay.accepted)
+	}
+}
+
+func TestWrongSecretIsRefused(t *testing.T) {
+	a, b := newNode(t, "a", "one secret"), newNode(t, "b", "another secret")
+	a.mesh.SetAddress("b", b.address())
+	time.Sleep(300 * time.Millisecond)
+	a.mesh.Send("b", agent.Message{Heartbeat: &agent.Heartbeat{}})
+	if got, _ := b.events.counts(); got != 0 {
+		t.Errorf("got %d messages with a wrong secret, want none", got)
+	}
+}
+
+func TestRefusedAddressIsReported(t *testing.T) {
+	a := newNode(t, "a", "secret")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	a.mesh.SetAddress("b", listener.Addr().String())
+	for until := time.Now().Add(patience); ; time.Sleep(20 * time.Millisecond) {
+		if _, refused := a.events.counts(); refused > 0 {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatal("waited in vain for the refusal to be reported")
+		}
+	}
+}
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -69,6 +71,7 @@
 func (s *Server) Register(router *bunrouter.Router) {
 	router.GET(operator.ConfigPath, s.guard(s.getConfig))
 	router.PUT(operator.ConfigPath, s.guard(s.putConfig))
+	router.GET(operator.HistoryPath, s.guard(s.history))
 	router.GET(operator.KeysPath, s.guard(s.listKeys))
 	router.POST(operator.KeysPath, s.guard(s.grantKey))
 	router.POST(operator.WithdrawPath, s.guard(s.withdrawKey))
@@ -146,19 +149,24 @@
 	return p
 }
 
-// commitRow writes one row under a condition and puts it in force here.
-func (s *Server) commitRow(r *http.Request, row table.Row, base table.Revision) (table.Revision, error) {
+// commitRow writes one row under a condition, together with the rows that go
+// with it, and puts it in force here.
+func (s *Server) commitRow(r *http.Request, row table.Row, base table.Revision, with ...table.Row) (table.Revision, error) {
 	ctx, cancel := context.WithTimeout(r.Context(), commitTime)
 	defer cancel()
 	row.Operation = id.Operation(fmt.Sprintf("operator/%s/%d", row.Key, s.Clock.Wall().UnixNano()))
-	revision, err := commit.Write(ctx, s.Clock, s.Service, table.Txn{
-		Operation: row.Operation, Conditions: []table.Condition{{Key: row.Key, Revision: base}}, Puts: []table.Row{row},
-	})
+	txn := table.Txn{
+		Operation: row.Operation, Conditions: []table.Condition{{Key: row.Key, Revision: base}},
+		Puts: append([]table.Row{row}, with...), Deletes: s.oldHistory(len(with)),
+	}
+	revision, err := commit.Write(ctx, s.Clock, s.Service, txn)
 	if err != nil {
 		return 0, commitProblem(err, row.Key, base)
 	}
-	row.Revision = revision
-	s.Control.Committed(row)
+	for _, put := range txn.Puts {
+		put.Operation, put.Revision = txn.Operation, revision
+		s.Control.Committed(put)
+	}
 	return revision, nil
 }
 
@@ -196,7 +204,7 @@
 		return nil, invalid(errors.Join(faults...))
 	}
 	row := table.Row{Key: table.ConfigKey, Config: &document.Config}
-	revision, err := s.commitRow(r, row, document.Revision)
+	revision, err := s.commitRow(r, row, document.Revision, s.replaced(document.Revision)...)
 	if err != nil {
 		return nil, err
 	}
@@ -208,6 +216,56 @@
 	return applied, nil
 }
 
+// historyLength is the number of earlier configurations that are kept.
+const historyLength = 20
+
+// replaced returns the row that keeps the configuration of a revision when
+// another one takes its place.
+func (s *Server) replaced(base table.Revision) []table.Row {
+	var out []table.Row
+	s.Control.Look(func(a *agent.Agent, _ clock.Instant) {
+		if current, revision := a.Config(); revision != 0 && revision == base {
+			out = []table.Row{{Key: table.HistoryKey(revision), Config: &current}}
+		}
+	})
+	return out
+}
+
+// oldHistory returns the kept configurations that have to make room for others.
+func (s *Server) oldHistory(added int) []table.Key {
+	var out []table.Key
+	s.Control.Look(func(a *agent.Agent, _ clock.Instant) {
+		rows := a.Rows(table.HistoryPrefix)
+		for _, row := range rows[:max(0, min(len(rows), len(rows)+added-historyLength))] {
+			out = append(out, row.Key)
+		}
+	})
+	return out
+}
+
+func (s *Server) history(*http.Request) (any, error) {
+	out := operator.History{Entries: []operator.ConfigDocument{}}
+	s.Control.Look(func(a *agent.Agent, _ clock.Instant) {
+		if current, revision := a.Config(); revision != 0 {
+			out.Entries = append(out.Entries, operator.ConfigDocument{Revision: revision, Config: current})
+		}
+		rows := a.Rows(table.HistoryPrefix)
+		for i := len(rows) - 1; i >= 0; i-- {
+			out.Entries = append(out.Entries, operator.ConfigDocument{Revision: historyRevision(rows[i].Key), Config: *rows[i].Config})
+		}
+	})
+	return out, nil
+}
+
+// historyRevision returns the revision that a key of the history names.
+func historyRevision(k table.Key) table.Revision {
+	n, err := strconv.ParseUint(strings.TrimPrefix(string(k), string(table.HistoryPrefix)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return table.Revision(n)
+}
+
 func (s *Server) configInForce(revision table.Revision) (inForce, missing []id.Host) {
 	s.Control.Look(func(a *agent.Agent, now clock.Instant) {
 		for _, h := range a.Hosts(now) {
--- a/pkg/state/table/table.go
+++ b/pkg/state/table/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 
 	"celerypin.example/celerypin/pkg/state/config"
@@ -31,9 +32,11 @@
 	HostPrefix   Key = "host/"
 	BudgetPrefix Key = "budget/"
 	KeyPrefix    Key = "key/"
-	ClaimPrefix  Key = "claim/"
-	ConfigKey    Key = "config"
-	ControlKey   Key = "control"
+	// HistoryPrefix is the kind of rows that hold earlier configurations.
+	HistoryPrefix Key = "history/"
+	ClaimPrefix   Key = "claim/"
+	ConfigKey     Key = "config"
+	ControlKey    Key = "control"
 )
 
 // HostKey returns the key of a host's row.
@@ -45,6 +48,10 @@
 // GrantKey returns the key of a granted key's row.
 func GrantKey(h key.Hash) Key { return KeyPrefix + Key(h.String()) }
 
+// HistoryKey returns the key under which the configuration of a revision is
+// kept. Keys sort in the order of revisions.
+func HistoryKey(r Revision) Key { return HistoryPrefix + Key(fmt.Sprintf("%020d", uint64(r))) }
+
 // ClaimKey returns the key of the claim of a non-idempotent request.
 func ClaimKey(a id.Account, r id.Request) Key { return ClaimPrefix + Key(a) + "/" + Key(r) }
 
