--- /dev/null
+++ b/pkg/coordination/agent/scenario_test.go
@@ -0,0 +1,190 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/budget"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+func (f *simFleet) controller() *simHost {
+	for _, h := range f.hosts {
+		if !h.dead && !h.frozen && h.agent.control.holding {
+			return h
+		}
+	}
+	return nil
+}
+
+// held returns what the table says that hosts may be using of an account's rate.
+func (f *simFleet) held(t *testing.T, account id.Account) map[id.Host]unit.Tokens {
+	t.Helper()
+	row, ok := f.hosts[0].agent.replica.Row(table.BudgetKey(account))
+	if !ok {
+		t.Fatalf("got no division of %s, want one", account)
+	}
+	out := map[id.Host]unit.Tokens{}
+	for _, g := range row.Budget.Grants {
+		out[g.Host] += g.Held.Rate
+	}
+	return out
+}
+
+// TestShareOfLostHostMovesOnlyAfterTheTakeover kills a host and watches when its
+// share is given to others.
+func TestShareOfLostHostMovesOnlyAfterTheTakeover(t *testing.T) {
+	f := newFleet(3, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	lost := f.hosts[5]
+	lost.dead = true
+	f.run(f.timing.Lease)
+	if f.held(t, "large")[lost.id] == 0 {
+		t.Errorf("got the share moved within the lease of %v, want it still held", f.timing.Lease)
+	}
+	f.run(f.timing.takeover())
+	if got := f.held(t, "large")[lost.id]; got != 0 {
+		t.Errorf("got %d still held after the takeover time, want it moved", got)
+	}
+}
+
+// TestShareStaysWhileTheTableIsOut holds that nothing moves, and that hosts go
+// on spending, during a long outage.
+func TestShareStaysWhileTheTableIsOut(t *testing.T) {
+	f := newFleet(3, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	f.store.mode = storeSilent
+	f.run(5 * time.Minute)
+	for _, h := range f.hosts {
+		if got := f.spend(h, "large"); got != budget.Granted {
+			t.Errorf("host %s: got %v after five minutes without the table, want granted", h.id, got)
+		}
+	}
+}
+
+// TestHostCutFromTheTableStopsSpending cuts a host from the table that others
+// read: its share lapses, although it still hears the others.
+func TestHostCutFromTheTableStopsSpending(t *testing.T) {
+	f := newFleet(3, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	cut := f.hosts[5]
+	cut.cutStore = true
+	f.run(f.timing.Lease + time.Millisecond)
+	if got := f.spend(cut, "large"); got != budget.Lapsed {
+		t.Errorf("got %v when the lease has ended while others read the table, want lapsed", got)
+	}
+}
+
+// TestWokenHostIsExpired freezes a host past its lease: its first act after the
+// wake must find the lease ended.
+func TestWokenHostIsExpired(t *testing.T) {
+	f := newFleet(3, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	h := f.hosts[4]
+	f.freeze(h)
+	f.run(time.Minute)
+	h.frozen = false
+	if got := f.spend(h, "large"); got != budget.Lapsed {
+		t.Errorf("got %v for the first spend after a pause of a minute, want lapsed", got)
+	}
+}
+
+// TestPausedControllerLosesItsWrite lets a controller pause while its write is
+// prepared, and another take over.
+func TestPausedControllerLosesItsWrite(t *testing.T) {
+	f := newFleet(3, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	old := f.controller()
+	f.freeze(old)
+	f.run(20 * time.Second)
+	if now := f.controller(); now == nil || now == old {
+		t.Fatal("got no other controller after 20 s, want one")
+	}
+	f.wake(old)
+	f.run(3 * time.Second)
+	holders := 0
+	for _, h := range f.hosts {
+		if h.agent.control.holding {
+			holders++
+		}
+	}
+	if holders != 1 {
+		t.Errorf("got %d hosts that hold the control lease, want 1", holders)
+	}
+}
+
+// TestLoweredShareIsConfirmedOnlyAfterLoansEnd lends more than the lowered burst
+// and checks that the reduction is not confirmed before the loan has ended.
+func TestLoweredShareIsConfirmedOnlyAfterLoansEnd(t *testing.T) {
+	f := newFleet(3, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	h := f.hosts[2]
+	b := h.agent.View().Pool.Bucket("large")
+	now := f.local(h)
+	until := now.Add(time.Second)
+	lent := b.Lend(budget.Loan[unit.Tokens]{ID: 1, To: "x", Amount: unit.Whole(4), Grain: unit.Token}, 0, now, until)
+	b.SetShare(budget.Share[unit.Tokens]{Rate: unit.Token, Burst: lent / 2}, now)
+	if got := h.agent.ownLevel(now, "large").Applied; got != 0 {
+		t.Errorf("got the reduction confirmed as revision %d while %d are on loan, want it unconfirmed", got, lent)
+	}
+	if got := h.agent.ownLevel(until+1, "large").Applied; got == 0 {
+		t.Error("got the reduction unconfirmed after the loan has ended, want it confirmed")
+	}
+}
+
+// TestLookupDropsLostAndLeavingHosts holds that look-ups at every host stop
+// naming a host within seconds after it died or began to leave.
+func TestLookupDropsLostAndLeavingHosts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault fault
+	}{{"lost", faultKill}, {"frozen", faultFreeze}, {"leaving", faultLeave}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(3, 3, 2, hangRaoDelays, DemandPolicy, testAccounts)
+			f.run(10 * time.Second)
+			gone := f.hosts[1]
+			if !f.named(gone) {
+				t.Fatal("got the host not named while it serves, want it named")
+			}
+			f.apply(c.fault, gone, gone)
+			f.run(3 * time.Second)
+			if f.named(gone) {
+				t.Error("got the host still named three seconds later, want it dropped")
+			}
+		})
+	}
+}
+
+// named tells whether any other host's look-ups name a host.
+func (f *simFleet) named(gone *simHost) bool {
+	for _, h := range f.hosts {
+		if h == gone || h.dead || h.frozen {
+			continue
+		}
+		for seed := range uint64(12) {
+			answer := h.agent.View().Lookup.Load().Lookup(gone.region, "large", seed)
+			for _, named := range answer.Hosts[:answer.Count] {
+				if named.ID == gone.id {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// TestReadersAreFew counts the reads of the table: one host in each failure
+// domain reads, and the holder of the control lease.
+func TestReadersAreFew(t *testing.T) {
+	f := newFleet(3, 3, 4, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	before, _ := f.table.Counts()
+	f.run(10 * time.Second)
+	after, _ := f.table.Counts()
+	most := uint64(10*time.Second/f.timing.Poll) * (6 + 1)
+	if got := after - before; got > most {
+		t.Errorf("got %d reads in ten seconds, want at most %d", got, most)
+	}
+}
--- a/pkg/coordination/pick/pick.go
+++ b/pkg/coordination/pick/pick.go
@@ -12,11 +12,15 @@
 	"celerypin.example/celerypin/pkg/state/rcu"
 )
 
-// Worker is one upstream with what this host knows of it. The counts outlive
-// the snapshots that list the worker.
+// Worker is one upstream with what this host knows of it. The knowledge is
+// shared by all snapshots that list the upstream.
 type Worker struct {
 	Info fleet.Upstream
+	*knowledge
+}
 
+// knowledge is what this host has learned of one upstream.
+type knowledge struct {
 	inFlight atomic.Int64
 	// reported is the load that the upstream last reported, in slots.
 	reported   atomic.Int64
@@ -147,22 +151,18 @@
 	})
 }
 
-// keep returns the known worker, or a new one if the upstream is another than before.
+// keep returns the known worker if nothing about it has changed. A worker with
+// another state shares what is known of it; another upstream under the same
+// name begins anew.
 func keep(w *Worker, info fleet.Upstream) *Worker {
-	if w == nil || w.Info.Address != info.Address || w.Info.Release != info.Release {
-		return &Worker{Info: info}
-	}
-	if w.Info.State == info.State && w.Info.Slots == info.Slots {
+	switch {
+	case w == nil || w.Info.Address != info.Address || w.Info.Release != info.Release:
+		return &Worker{Info: info, knowledge: &knowledge{}}
+	case w.Info == info:
 		return w
+	default:
+		return &Worker{Info: info, knowledge: w.knowledge}
 	}
-	next := &Worker{Info: info}
-	next.inFlight.Store(w.inFlight.Load())
-	next.reported.Store(w.reported.Load())
-	next.reportedAt.Store(w.reportedAt.Load())
-	next.avoidUntil.Store(w.avoidUntil.Load())
-	next.failures.Store(w.failures.Load())
-	next.draining.Store(w.draining.Load())
-	return next
 }
 
 // Workers returns all workers of all services.
@@ -229,7 +229,7 @@
 
 func accepts(w *Worker, not []*Worker, now clock.Instant) bool {
 	for _, tried := range not {
-		if tried == w {
+		if tried.knowledge == w.knowledge {
 			return false
 		}
 	}
