--- a/cmd/celerypin/cmds/standin.go
+++ b/cmd/celerypin/cmds/standin.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	log := logging.New(c.Root().ErrWriter, s.Log.Level, s.Log.Format).Part("standin platform")
-	server, err := platform.New(s.Listen, protocol.Knobs{DelayMS: s.DelayMS, ListLagMS: s.ListLagMS}, clock.System{})
+	server, err := platform.New(s.Listen, protocol.Knobs{DelayMS: s.DelayMS, ListLagMS: s.ListLagMS, HostDelayMS: s.HostDelayMS}, clock.System{})
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -138,3 +139,33 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return err == nil && response.StatusCode == http.StatusOK
 }
+
+// BenchmarkHostsIdle measures what twelve hosts that serve nothing cost for
+// control: bytes between hosts and reads and writes of the table, each second.
+func BenchmarkHostsIdle(b *testing.B) {
+	for _, hosts := range []int{3, 6, 12} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			d := newDeployment(b, hosts)
+			time.Sleep(time.Second)
+			sent := d.bytesSent()
+			reads, writes := d.platform.Memory().Counts()
+			b.ResetTimer()
+			for b.Loop() {
+				time.Sleep(time.Second)
+			}
+			seconds := b.Elapsed().Seconds()
+			endReads, endWrites := d.platform.Memory().Counts()
+			b.ReportMetric(float64(d.bytesSent()-sent)/seconds/float64(hosts), "bytes/host/s")
+			b.ReportMetric(float64(endReads-reads)/seconds, "reads/s")
+			b.ReportMetric(float64(endWrites-writes)/seconds, "writes/s")
+		})
+	}
+}
+
+func (d *deployment) bytesSent() int64 {
+	sum := int64(0)
+	for _, h := range d.hosts {
+		sum += h.Metrics().Get("hosts.bytes_sent").(metrics.Counter).Count()
+	}
+	return sum
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,7 +124,7 @@
 	h.platform = platform.New(h.settings.Platform, identity.Host, platformTimeout)
 	a := agent.New(identity, agent.DefaultTiming(), agent.DemandPolicy, h.record)
 	h.runner = newRunner(a, h.clock, h.platform, platformTimeout, log.Part("agent"))
-	h.mesh = host.New(identity.Host, secret, h.runner, log.Part("mesh"), h.clock)
+	h.mesh = host.New(identity.Host, secret, h.runner, log.Part("mesh"), h.clock, h.metrics)
 	h.picker = pick.New()
 	h.claims = claim.New(identity.Host, identity.Incarnation, h.platform, h.clock)
 	h.forwarder = upstream.NewForwarder(string(identity.Host)+"-"+identity.Incarnation.String()+"-", h.clock)
@@ -299,5 +299,8 @@
 // Look lets a function look at the agent.
 func (h *Host) Look(look func(a *agent.Agent, now clock.Instant)) { h.runner.read(look) }
 
+// Metrics returns the host's metrics.
+func (h *Host) Metrics() metrics.Registry { return h.metrics }
+
 // Events returns the events of the host's time line.
 func (h *Host) Events() []timeline.Event { return h.events.Events() }
--- a/internal/daemon/fixture_test.go
+++ b/internal/daemon/fixture_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,15 +48,35 @@
 
 // deployment is a platform, workers and hosts on loopback.
 type deployment struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Server
 	workers  map[id.Upstream]*upstream.Worker
 	hosts    []*Host
+	// log holds what all hosts have logged.
+	log *lockedBuffer
 }
 
-func newDeployment(t *testing.T, hosts int) *deployment {
+// lockedBuffer is a buffer for several writers.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func newDeployment(t testing.TB, hosts int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, workers: map[id.Upstream]*upstream.Worker{}}
+	d := &deployment{t: t, workers: map[id.Upstream]*upstream.Worker{}, log: &lockedBuffer{}}
 	server, err := platform.New("127.0.0.1:0", platformprotocol.Knobs{}, clock.System{})
 	if err != nil {
 		t.Fatal(err)
@@ -102,7 +123,7 @@
 	h, err := New(settings.Serve{
 		Host: name, Region: "r0", FailureDomain: "r0-a", CallerListen: "127.0.0.1:0", HostListen: "127.0.0.1:0",
 		Platform: d.platform.URL(), FleetSecret: testSecret, OperatorToken: testToken,
-	}, clock.System{}, logging.Discard())
+	}, clock.System{}, logging.New(d.log, "debug", ""))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -53,7 +54,11 @@
 		{"in forged system headers", "/read/j", http.Header{"Celerypin-Account": {testKey}}, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := d.request(0, http.MethodGet, c.path, c.header, nil); got.StatusCode != c.want {
+			got := d.request(0, http.MethodGet, c.path, c.header, nil)
+			if strings.Contains(strings.ToLower(fmt.Sprint(got.Header)+got.body), testKey) {
+				t.Errorf("got the key in the answer %s, want it nowhere", got.body)
+			}
+			if got.StatusCode != c.want {
 				t.Errorf("got status %d %s, want %d", got.StatusCode, got.body, c.want)
 			}
 		})
@@ -64,13 +69,33 @@
 			t.Errorf("upstream %s was sent the key, want it nowhere in:\n%s", name, got)
 		}
 	}
-	for _, e := range d.hosts[0].Events() {
-		if strings.Contains(fmt.Sprint(e), testKey) {
-			t.Errorf("the time line has the key in %v, want it nowhere", e)
+	metrics, err := json.Marshal(d.hosts[0].Metrics().GetAll())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for place, text := range map[string]string{
+		"log": d.log.String(), "time line": fmt.Sprint(d.hosts[0].Events()), "metrics": string(metrics), "table": d.tableText(t),
+	} {
+		if text == "" || strings.Contains(strings.ToLower(text), testKey) {
+			t.Errorf("got the key, or nothing at all, in the %s, want it nowhere", place)
 		}
 	}
 }
 
+// tableText returns all rows of the platform's table.
+func (d *deployment) tableText(t *testing.T) string {
+	t.Helper()
+	changes, err := d.platform.Memory().Changes(context.Background(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
 // trailerWithKey sends the key in a trailer.
 func (d *deployment) trailerWithKey(t *testing.T) {
 	t.Helper()
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -69,6 +69,9 @@
 	Mode Mode `json:"mode"`
 	// DelayMS is added to each answer, in milliseconds.
 	DelayMS int `json:"delay_ms"`
+	// HostDelayMS is added to the answers to single hosts, in milliseconds, as
+	// their distance to the platform.
+	HostDelayMS map[id.Host]int `json:"host_delay_ms,omitempty"`
 	// LoseAnswers is the number of coming transactions whose answers are lost
 	// after they took effect.
 	LoseAnswers int `json:"lose_answers"`
--- /dev/null
+++ b/internal/protocol/platform/platform_test.go
@@ -0,0 +1,83 @@
+package platform
+
+import (
+	"fmt"
+	"testing"
+
+	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+func hostRow() table.Row {
+	return table.Row{Key: "host/western-0001", Revision: 1 << 20, Operation: "host/western-0001/1796379830367/1234", Host: &table.Host{
+		ID: "western-0001", Incarnation: 1796379830367, Region: "western", FailureDomain: "western-a",
+		CallerAddress: "127.0.0.1:8101", HostAddress: "127.0.0.1:8201", State: table.HostServing, Renewals: 1 << 16,
+	}}
+}
+
+func budgetRow(hosts int) table.Row {
+	b := &table.Budget{Account: "st-anthony-kochchikade", Total: table.Share{Rate: unit.Whole(120), Burst: unit.Whole(120)}}
+	for n := range hosts {
+		share := table.Share{Rate: unit.Whole(10), Burst: unit.Whole(10)}
+		b.Grants = append(b.Grants, table.Grant{Host: id.Host(fmt.Sprintf("western-%04d", n)), Incarnation: 1796379830367, Share: share, Held: share})
+	}
+	return table.Row{Key: "budget/st-anthony-kochchikade", Revision: 1 << 20, Operation: "control/western-0001/1796379830367/99", Budget: b}
+}
+
+func configRow(accounts int) table.Row {
+	c := &config.Config{}
+	for n := range accounts {
+		c.Accounts = append(c.Accounts, config.Account{ID: id.Account(fmt.Sprintf("account-%04d", n)), RatePerSecond: 100, Burst: 100})
+	}
+	return table.Row{Key: table.ConfigKey, Revision: 1 << 20, Operation: "operator/config/1796379830367", Config: c}
+}
+
+// BenchmarkRow measures the size of each kind of row and the cost of reading it.
+func BenchmarkRow(b *testing.B) {
+	hash := key.NewHasher([]byte("secret")).Hash("key")
+	for _, c := range []struct {
+		name string
+		row  table.Row
+	}{
+		{"host", hostRow()},
+		{"key", table.Row{Key: table.GrantKey(hash), Revision: 1 << 20, Grant: &key.Record{Hash: hash, Account: "st-anthony-kochchikade"}}},
+		{"budget of 12 hosts", budgetRow(12)},
+		{"budget of 120 hosts", budgetRow(120)},
+		{"config of 8 accounts", configRow(8)},
+		{"config of 80 accounts", configRow(80)},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			form := codec.JSON[table.Changes]{}
+			data, err := form.Encode(table.Changes{Revision: 1 << 20, Rows: []table.Row{c.row}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := form.Decode(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "bytes/row")
+		})
+	}
+}
+
+// TestRowsSurviveTheirForm encodes and decodes each kind of row.
+func TestRowsSurviveTheirForm(t *testing.T) {
+	for _, row := range []table.Row{hostRow(), budgetRow(2), configRow(2)} {
+		form := codec.JSON[table.Row]{}
+		data, err := form.Encode(row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := form.Decode(data)
+		if err != nil || got.Key != row.Key || got.Revision != row.Revision || got.Deleted() {
+			t.Errorf("got %+v, %v, want %+v", got, err, row)
+		}
+	}
+}
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -53,7 +53,9 @@
 	Listen    string `json:"listen" validate:"required,listen"`
 	DelayMS   int    `json:"delay_ms,omitempty" validate:"gte=0,lte=60000"`
 	ListLagMS int    `json:"list_lag_ms,omitempty" validate:"gte=0,lte=600000"`
-	Log       Log    `json:"log,omitempty"`
+	// HostDelayMS is the way to and from single hosts, in milliseconds.
+	HostDelayMS map[id.Host]int `json:"host_delay_ms,omitempty"`
+	Log         Log             `json:"log,omitempty"`
 }
 
 // StandinUpstream holds the settings of a process with stand-ins of upstreams.
--- a/internal/protocol/settings/strict.go
+++ b/internal/protocol/settings/strict.go
@@ -137,6 +137,8 @@
 		w.object(path, v, t)
 	case reflect.Slice:
 		w.list(path, v, t)
+	case reflect.Map:
+		w.mapping(path, v, t)
 	default:
 		w.scalar(path, v, t)
 	}
@@ -185,6 +187,17 @@
 	}
 }
 
+func (w *walker) mapping(path string, v any, t reflect.Type) {
+	fields, ok := v.(map[string]any)
+	if !ok {
+		w.fault(path, "an object", v)
+		return
+	}
+	for _, name := range sortedKeys(fields) {
+		w.value(join(path, name), fields[name], t.Elem())
+	}
+}
+
 func (w *walker) list(path string, v any, t reflect.Type) {
 	items, ok := v.([]any)
 	if !ok {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -130,7 +130,7 @@
 			write(w, http.StatusServiceUnavailable, platform.Error{Message: "out of service"})
 			return
 		}
-		s.clock.Sleep(r.Context(), time.Duration(knobs.DelayMS)*time.Millisecond)
+		s.clock.Sleep(r.Context(), time.Duration(knobs.DelayMS+knobs.HostDelayMS[host])*time.Millisecond)
 		h(w, r)
 	})
 }
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/rcrowley/go-metrics"
 
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/host"
@@ -59,6 +60,8 @@
 	log    *logging.Log
 	client *http.Client
 	clock  clock.Clock
+	sent   metrics.Counter
+	read   metrics.Counter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -79,12 +82,14 @@
 }
 
 // New returns a mesh without connections.
-func New(self id.Host, secret []byte, events Events, log *logging.Log, c clock.Clock) *Mesh {
+func New(self id.Host, secret []byte, events Events, log *logging.Log, c clock.Clock, registry metrics.Registry) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh{
 		self: self, token: fleetToken(secret), events: events, log: log, clock: c,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		ctx:    ctx, cancel: cancel,
+		sent:      metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
+		read:      metrics.NewRegisteredCounter("hosts.bytes_received", registry),
 		addresses: map[id.Host]string{}, links: map[id.Host]*link{}, dialing: map[id.Host]bool{},
 	}
 }
@@ -212,7 +217,7 @@
 		m.write(ctx, l)
 		cancel()
 	})
-	m.read(ctx, h, l)
+	m.receive(ctx, h, l)
 	cancel()
 	writer.Wait()
 	_ = conn.CloseNow()
@@ -246,6 +251,7 @@
 			if !writeOne(ctx, l.conn, data) {
 				return
 			}
+			m.sent.Inc(int64(len(data)))
 		}
 	}
 }
@@ -256,12 +262,13 @@
 	return conn.Write(ctx, websocket.MessageBinary, data) == nil
 }
 
-func (m *Mesh) read(ctx context.Context, h id.Host, l *link) {
+func (m *Mesh) receive(ctx context.Context, h id.Host, l *link) {
 	for {
 		data, err := readOne(ctx, l.conn)
 		if err != nil {
 			return
 		}
+		m.read.Inc(int64(len(data)))
 		from, to, message, err := host.Decode(data)
 		if err != nil || from != h || to != m.self {
 			m.log.With("host", h).Warn("A malformed message ended the connection.")
--- a/internal/transport/host/mesh_test.go
+++ b/internal/transport/host/mesh_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -53,7 +55,7 @@
 
 func newNode(t *testing.T, name id.Host, secret string) *node {
 	n := &node{events: &recorder{}}
-	n.mesh = New(name, []byte(secret), n.events, logging.Discard(), clock.System{})
+	n.mesh = New(name, []byte(secret), n.events, logging.Discard(), clock.System{}, metrics.NewRegistry())
 	n.server = httptest.NewServer(http.HandlerFunc(n.mesh.Accept))
 	t.Cleanup(n.server.Close)
 	t.Cleanup(n.mesh.Close)
--- a/pkg/coordination/agent/measure_test.go
+++ b/pkg/coordination/agent/measure_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"text/tabwriter"
@@ -12,6 +14,8 @@
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/config"
 	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/key"
+	"celerypin.example/celerypin/pkg/state/table"
 	"celerypin.example/celerypin/pkg/state/unit"
 )
 
@@ -332,3 +336,70 @@
 	_ = out.Flush()
 	golden.Check(t, "wrongful_refusals.golden", []byte(text.String()))
 }
+
+// TestMeasureInForce measures, on the simulated clock, how long a committed
+// configuration and a withdrawal need until they are in force on all hosts. The
+// figures are a golden file; the stated targets are bounds.
+func TestMeasureInForce(t *testing.T) {
+	const (
+		configTarget     = 2 * time.Second
+		withdrawalTarget = time.Second
+		rounds           = 40
+	)
+	var text strings.Builder
+	out := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "deployment\tchange\trounds\tmedian\tlongest\ttarget")
+	for _, w := range []workload{pushpa, hangRao} {
+		f := newFleet(20261204, 3, 4, w.delays, DemandPolicy, testAccounts)
+		f.run(5 * time.Second)
+		configs := f.timeRounds(rounds, func(int) func() bool {
+			f.applyConfig(testAccounts)
+			rows, _ := f.table.Rows(context.Background(), []table.Key{table.ConfigKey})
+			return func() bool {
+				return f.all(func(h *simHost) bool { _, r := h.agent.Config(); return r >= rows[0].Revision })
+			}
+		})
+		withdrawals := f.timeRounds(rounds, func(n int) func() bool {
+			hash := key.NewHasher([]byte("secret")).Hash(fmt.Sprint(n))
+			f.withdraw(f.hosts[n%len(f.hosts)], hash)
+			return func() bool { return f.all(func(h *simHost) bool { return h.agent.marks.held[hash] }) }
+		})
+		for _, m := range []struct {
+			name   string
+			times  []time.Duration
+			target time.Duration
+		}{{"configuration", configs, configTarget}, {"withdrawal", withdrawals, withdrawalTarget}} {
+			slices.Sort(m.times)
+			longest := m.times[len(m.times)-1]
+			fmt.Fprintf(out, "%s\t%s\t%d\t%v\t%v\t%v\n", w.name, m.name, len(m.times), m.times[len(m.times)/2], longest, m.target)
+			if longest > m.target {
+				t.Errorf("%s, %s: got %v until in force on all hosts, want at most %v", w.name, m.name, longest, m.target)
+			}
+		}
+	}
+	_ = out.Flush()
+	golden.Check(t, "in_force.golden", []byte(text.String()))
+}
+
+func (f *simFleet) all(holds func(*simHost) bool) bool {
+	for _, h := range f.hosts {
+		if !holds(h) {
+			return false
+		}
+	}
+	return true
+}
+
+// timeRounds makes a change again and again, and returns how long each took.
+func (f *simFleet) timeRounds(rounds int, change func(n int) (done func() bool)) []time.Duration {
+	var out []time.Duration
+	for n := range rounds {
+		f.run(time.Second + time.Duration(f.rng.Int64N(int64(time.Second))))
+		start := f.now
+		for done := change(n); !done() && f.now.Sub(start) < time.Minute; {
+			f.run(time.Millisecond)
+		}
+		out = append(out, f.now.Sub(start))
+	}
+	return out
+}
