--- a/pkg/coordination/agent/measure_test.go
+++ b/pkg/coordination/agent/measure_test.go
@@ -308,15 +308,18 @@
 	if testing.Short() {
 		t.Skip("long")
 	}
+	const noAim = 100
 	faults := []struct {
-		name   string
+		name string
+		// aim is the stated target for wrongful refusals, in percent.
+		aim    float64
 		inject func(*simFleet)
 	}{
-		{"calm", func(*simFleet) {}},
-		{"host lost", func(f *simFleet) { f.hosts[5].dead = true }},
-		{"store silent", func(f *simFleet) { f.store.mode = storeSilent }},
-		{"store out", func(f *simFleet) { f.store.mode = storeOut }},
-		{"store out, host lost", func(f *simFleet) { f.store.mode = storeOut; f.hosts[5].dead = true }},
+		{"calm", 0.1, func(*simFleet) {}},
+		{"host lost", 1, func(f *simFleet) { f.hosts[5].dead = true }},
+		{"store silent", 1, func(f *simFleet) { f.store.mode = storeSilent }},
+		{"store out", 1, func(f *simFleet) { f.store.mode = storeOut }},
+		{"store out, host lost", noAim, func(f *simFleet) { f.store.mode = storeOut; f.hosts[5].dead = true }},
 	}
 	var text strings.Builder
 	out := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
@@ -327,6 +330,9 @@
 				o := newBench(w, s).measure(fault.inject)
 				fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%.3f\t%s\t%.3f\t%v\t%.0f\t%.1f\t%.1f\n", w.name, fault.name, s, o.arrivals,
 					100*float64(o.wrongful)/float64(o.arrivals), o.worst, 100*o.worstShare, o.over, o.messages, o.reads, o.writes)
+				if got := 100 * float64(o.wrongful) / float64(o.arrivals); s == schemeShares && got >= fault.aim {
+					t.Errorf("%s, %s: got %.3f %% refused wrongfully, want less than %v", w.name, fault.name, got, fault.aim)
+				}
 				if o.over {
 					t.Errorf("%s, %s, %s: got an account over its rate, want none", w.name, fault.name, s)
 				}
