--- a/pkg/state/block/block_test.go
+++ b/pkg/state/block/block_test.go
@@ -46,13 +46,15 @@
 
 // BenchmarkRegion measures a search among blocks, and the memory for each block.
 func BenchmarkRegion(b *testing.B) {
-	for _, n := range []int{13_000, 130_000} {
+	for _, n := range []int{130_000, 520_000} {
 		list := entries(n)
 		var before, after runtime.MemStats
 		runtime.GC()
+		runtime.GC()
 		runtime.ReadMemStats(&before)
 		table := New(list)
 		runtime.GC()
+		runtime.GC()
 		runtime.ReadMemStats(&after)
 		address := netip.MustParseAddr("10.5.7.9")
 		b.Run(fmt.Sprintf("blocks=%d", n), func(b *testing.B) {
