--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -25,6 +25,7 @@
 	"celerypin.example/celerypin/pkg/coordination/claim"
 	"celerypin.example/celerypin/pkg/coordination/lookup"
 	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/config"
 	"celerypin.example/celerypin/pkg/state/fleet"
@@ -45,13 +46,14 @@
 	pool.Set("parish", budget.Share[unit.Tokens]{Rate: unit.Whole(100_000_000), Burst: unit.Whole(1_000_000)}, c.Now().Add(-time.Second))
 	hasher := key.NewHasher([]byte(testSecret))
 	ring := key.NewRing([]key.Record{{Hash: hasher.Hash(testKey), Account: "parish"}}, nil)
-	picker := pick.New()
+	splits := release.NewSplits()
+	picker := pick.New(splits)
 	picker.Update([]fleet.Upstream{{ID: "w", Service: "reads", Region: "r0", Address: worker, Slots: 1024, State: fleet.UpstreamLive}})
 	server := caller.New(caller.Parts{
 		Host: "host", Region: "r0",
 		Gate:   &admit.Gate{Config: rcu.New(config.Compile(testConfig)), Ring: rcu.New(ring), Keyed: lease, Pool: pool},
 		Lookup: rcu.New(lookup.New(lookup.Inputs{Hosts: []fleet.Host{{ID: "host", Region: "r0", Address: "127.0.0.1:1"}}, Keep: time.Second})),
-		Hasher: hasher, Picker: picker, Claims: claim.New("host", 1, table.NewMemory(), c),
+		Hasher: hasher, Picker: picker, Recorder: release.NewRecorder(splits), Claims: claim.New("host", 1, table.NewMemory(), c),
 		Forwarder: upstream.NewForwarder("bench-", c), Clock: c, Log: logging.Discard(), Metrics: metrics.NewRegistry(),
 	})
 	router := bunrouter.New()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/coordination/claim"
 	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
@@ -125,14 +126,14 @@
 	a := agent.New(identity, agent.DefaultTiming(), agent.DemandPolicy, h.record)
 	h.runner = newRunner(a, h.clock, h.platform, platformTimeout, log.Part("agent"))
 	h.mesh = host.New(identity.Host, secret, h.runner, log.Part("mesh"), h.clock, h.metrics)
-	h.picker = pick.New()
 	h.claims = claim.New(identity.Host, identity.Incarnation, h.platform, h.clock)
 	h.forwarder = upstream.NewForwarder(string(identity.Host)+"-"+identity.Incarnation.String()+"-", h.clock)
 	view := a.View()
+	h.picker = pick.New(view.Splits)
 	h.callers = caller.New(caller.Parts{
 		Host: identity.Host, Region: identity.Region,
 		Gate:   &admit.Gate{Config: view.Config, Ring: view.Ring, Keyed: view.Keyed, Pool: view.Pool},
-		Lookup: view.Lookup, Hasher: key.NewHasher(secret), Borrower: h.runner, Picker: h.picker,
+		Lookup: view.Lookup, Hasher: key.NewHasher(secret), Borrower: h.runner, Picker: h.picker, Recorder: view.Recorder,
 		Claims: h.claims, Forwarder: h.forwarder, Clock: h.clock, Log: log.Part("caller"), Metrics: h.metrics,
 	})
 	h.hostServer = &http.Server{Handler: h.hostRoutes(), ReadHeaderTimeout: headerTime}
@@ -296,6 +297,11 @@
 // Withdraw puts the withdrawal of a key in force.
 func (h *Host) Withdraw(hash key.Hash) { h.runner.withdraw(hash) }
 
+// Retreat takes a release back.
+func (h *Host) Retreat(r release.ID) {
+	h.runner.do(func(now clock.Instant) agent.Output { return h.runner.agent.Retreat(now, r) })
+}
+
 // Look lets a function look at the agent.
 func (h *Host) Look(look func(a *agent.Agent, now clock.Instant)) { h.runner.read(look) }
 
--- a/internal/protocol/host/host.go
+++ b/internal/protocol/host/host.go
@@ -9,6 +9,7 @@
 
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/pkg/coordination/agent"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
@@ -53,8 +54,9 @@
 	OutAge        *int64           `cbor:"out_age_ns,omitempty"`
 	Complete      table.Revision   `cbor:"complete"`
 	Config        table.Revision   `cbor:"config"`
-	Marks         []key.Hash       `cbor:"marks,omitempty"`
+	Marks         *marks           `cbor:"marks,omitempty"`
 	Levels        []level          `cbor:"levels,omitempty"`
+	Outcomes      []outcome        `cbor:"outcomes,omitempty"`
 }
 
 // level is an array on the wire, because a heartbeat carries many.
@@ -89,7 +91,24 @@
 }
 
 type marks struct {
-	Hashes []key.Hash `cbor:"hashes"`
+	Keys     []key.Hash  `cbor:"keys,omitempty"`
+	Releases []releaseID `cbor:"releases,omitempty"`
+}
+
+type releaseID struct {
+	Service id.Service `cbor:"service"`
+	Release id.Release `cbor:"release"`
+}
+
+// outcome is an array on the wire, because a heartbeat may carry many.
+type outcome struct {
+	_        struct{} `cbor:",toarray"`
+	Service  id.Service
+	Release  id.Release
+	Route    id.Route
+	Requests uint64
+	Failed   uint64
+	Slow     uint64
 }
 
 var wire codec.Codec[Envelope] = codec.CBOR[Envelope]{}
@@ -128,9 +147,9 @@
 	case m.Repay != nil:
 		e.Repay = &repay{Loan: m.Repay.Loan, Account: m.Repay.Account, Unspent: m.Repay.Unspent}
 	case m.Marks != nil:
-		e.Marks = &marks{Hashes: m.Marks.Hashes}
+		e.Marks = marksToWire(*m.Marks)
 	case m.MarksHeld != nil:
-		e.MarksHeld = &marks{Hashes: m.MarksHeld.Hashes}
+		e.MarksHeld = marksToWire(*m.MarksHeld)
 	}
 	return e
 }
@@ -150,9 +169,9 @@
 	case e.Repay != nil:
 		return agent.Message{Repay: &agent.Repay{Loan: e.Repay.Loan, Account: e.Repay.Account, Unspent: e.Repay.Unspent}}
 	case e.Marks != nil:
-		return agent.Message{Marks: &agent.Marks{Hashes: e.Marks.Hashes}}
+		return agent.Message{Marks: marksFromWire(e.Marks)}
 	case e.MarksHeld != nil:
-		return agent.Message{MarksHeld: &agent.MarksHeld{Hashes: e.MarksHeld.Hashes}}
+		return agent.Message{MarksHeld: marksFromWire(e.MarksHeld)}
 	}
 	return agent.Message{}
 }
@@ -162,7 +181,13 @@
 		Incarnation: h.Incarnation, Region: h.Region, FailureDomain: h.FailureDomain, Leaving: h.Leaving,
 		Sent: int64(h.Sent), Echo: int64(h.Echo), EchoHeld: int64(h.EchoHeld),
 		ReadAge: ageToWire(h.ReadAge), UpAge: ageToWire(h.UpAge), OutAge: ageToWire(h.OutAge),
-		Complete: h.Complete, Config: h.Config, Marks: h.Marks,
+		Complete: h.Complete, Config: h.Config,
+	}
+	if len(h.Marks.Keys)+len(h.Marks.Releases) > 0 {
+		out.Marks = marksToWire(h.Marks)
+	}
+	for _, o := range h.Outcomes {
+		out.Outcomes = append(out.Outcomes, outcomeToWire(o))
 	}
 	for _, l := range h.Levels {
 		out.Levels = append(out.Levels, level{Account: l.Account, Demand: l.Demand, Tokens: l.Tokens, Applied: l.Applied})
@@ -175,7 +200,13 @@
 		Incarnation: h.Incarnation, Region: h.Region, FailureDomain: h.FailureDomain, Leaving: h.Leaving,
 		Sent: clock.Instant(h.Sent), Echo: clock.Instant(h.Echo), EchoHeld: time.Duration(h.EchoHeld),
 		ReadAge: ageFromWire(h.ReadAge), UpAge: ageFromWire(h.UpAge), OutAge: ageFromWire(h.OutAge),
-		Complete: h.Complete, Config: h.Config, Marks: h.Marks,
+		Complete: h.Complete, Config: h.Config,
+	}
+	if h.Marks != nil {
+		out.Marks = *marksFromWire(h.Marks)
+	}
+	for _, o := range h.Outcomes {
+		out.Outcomes = append(out.Outcomes, outcomeFromWire(o))
 	}
 	for _, l := range h.Levels {
 		out.Levels = append(out.Levels, agent.Level{Account: l.Account, Demand: l.Demand, Tokens: l.Tokens, Applied: l.Applied})
@@ -183,6 +214,36 @@
 	return out
 }
 
+func marksToWire(m agent.Marks) *marks {
+	out := &marks{Keys: m.Keys}
+	for _, r := range m.Releases {
+		out.Releases = append(out.Releases, releaseID(r))
+	}
+	return out
+}
+
+func marksFromWire(m *marks) *agent.Marks {
+	out := &agent.Marks{Keys: m.Keys}
+	for _, r := range m.Releases {
+		out.Releases = append(out.Releases, release.ID(r))
+	}
+	return out
+}
+
+func outcomeToWire(o agent.Outcome) outcome {
+	return outcome{
+		Service: o.Subject.Service, Release: o.Subject.Release, Route: o.Subject.Route,
+		Requests: o.Counts.Requests, Failed: o.Counts.Failed, Slow: o.Counts.Slow,
+	}
+}
+
+func outcomeFromWire(o outcome) agent.Outcome {
+	return agent.Outcome{
+		Subject: release.Subject{Service: o.Service, Release: o.Release, Route: o.Route},
+		Counts:  release.Counts{Requests: o.Requests, Failed: o.Failed, Slow: o.Slow},
+	}
+}
+
 func ageToWire(a agent.Age) *int64 {
 	if !a.Known {
 		return nil
--- a/internal/protocol/host/host_test.go
+++ b/internal/protocol/host/host_test.go
@@ -12,6 +12,7 @@
 	"celerypin.example/celerypin/internal/golden"
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/pkg/coordination/agent"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/config"
 	"celerypin.example/celerypin/pkg/state/key"
 	"celerypin.example/celerypin/pkg/state/table"
@@ -35,7 +36,8 @@
 		{"heartbeat", agent.Message{Heartbeat: &agent.Heartbeat{
 			Incarnation: 7, Region: "western", FailureDomain: "western-a", Sent: 12, Echo: 11, EchoHeld: 3,
 			ReadAge: agent.Age{Known: true, Since: 5}, UpAge: agent.Age{Known: true}, Complete: 42, Config: 6,
-			Marks: []key.Hash{hash}, Levels: []agent.Level{{Account: "parish", Demand: unit.Whole(2), Tokens: unit.Token, Applied: 41}},
+			Marks: agent.Marks{Keys: []key.Hash{hash}}, Levels: []agent.Level{{Account: "parish", Demand: unit.Whole(2), Tokens: unit.Token, Applied: 41}},
+			Outcomes: []agent.Outcome{{Subject: release.Subject{Service: "rota-viewer", Release: "v2", Route: "rota"}, Counts: release.Counts{Requests: 9, Failed: 1, Slow: 2}}},
 		}}},
 		{"relay", agent.Message{Relay: &agent.Relay{Changes: table.Changes{After: 1, Revision: 3, Rows: []table.Row{
 			{Key: table.ConfigKey, Revision: 2, Operation: "op", Config: &cfg},
@@ -45,8 +47,8 @@
 		{"borrow", agent.Message{Borrow: &agent.Borrow{Loan: 1, Account: "parish", Amount: unit.Token}}},
 		{"loan", agent.Message{Loan: &agent.Loan{Loan: 1, Account: "parish", Amount: unit.Token}}},
 		{"repay", agent.Message{Repay: &agent.Repay{Loan: 1, Account: "parish", Unspent: 0}}},
-		{"marks", agent.Message{Marks: &agent.Marks{Hashes: []key.Hash{hash}}}},
-		{"marks held", agent.Message{MarksHeld: &agent.MarksHeld{Hashes: []key.Hash{hash}}}},
+		{"marks", agent.Message{Marks: &agent.Marks{Keys: []key.Hash{hash}, Releases: []release.ID{{Service: "rota-viewer", Release: "v2"}}}}},
+		{"marks held", agent.Message{MarksHeld: &agent.Marks{Keys: []key.Hash{hash}}}},
 	}
 }
 
--- a/internal/protocol/operator/operator.go
+++ b/internal/protocol/operator/operator.go
@@ -18,6 +18,8 @@
 	HostsPath    = "/celerypin/v1/operator/hosts"
 	AttestPath   = "/celerypin/v1/operator/hosts/attest"
 	BudgetsPath  = "/celerypin/v1/operator/budgets"
+	ReleasesPath = "/celerypin/v1/operator/releases"
+	RetreatPath  = "/celerypin/v1/operator/releases/retreat"
 	TimelinePath = "/celerypin/v1/operator/timeline"
 	MetricsPath  = "/celerypin/v1/metrics"
 )
@@ -125,6 +127,39 @@
 	Budget   table.Budget   `json:"budget"`
 }
 
+// ReleaseStart begins a change of release. Without an old release it takes the
+// one that carries the traffic.
+type ReleaseStart struct {
+	Service  id.Service      `json:"service" validate:"required"`
+	Old      id.Release      `json:"old,omitempty"`
+	New      id.Release      `json:"new" validate:"required"`
+	Deadline config.Duration `json:"deadline" validate:"gt=0"`
+}
+
+// ReleaseRetreat takes a release back.
+type ReleaseRetreat struct {
+	Service id.Service `json:"service" validate:"required"`
+	Release id.Release `json:"release" validate:"required"`
+}
+
+// ReleaseRetreated tells where a retreat is in force.
+type ReleaseRetreated struct {
+	InForce  []id.Host `json:"in_force"`
+	Missing  []id.Host `json:"missing"`
+	Recorded bool      `json:"recorded"`
+}
+
+// ReleaseList lists the changes of release, one for each service.
+type ReleaseList struct {
+	Releases []ReleaseEntry `json:"releases"`
+}
+
+// ReleaseEntry is one change of release.
+type ReleaseEntry struct {
+	Revision table.Revision `json:"revision"`
+	Release  table.Release  `json:"release"`
+}
+
 // Timeline carries the events of one host.
 type Timeline struct {
 	Events []timeline.Event `json:"events"`
--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -13,6 +13,7 @@
 	"celerypin.example/celerypin/pkg/coordination/admit"
 	"celerypin.example/celerypin/pkg/coordination/claim"
 	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/table"
@@ -34,6 +35,9 @@
 	until clock.Instant
 	// small holds the whole body of a request that is short enough to be sent again.
 	small []byte
+	// release is what the request was given to, if its service is divided.
+	release         id.Release
+	chosen, divided bool
 	// sent tells that an upstream may have begun to run the request.
 	sent bool
 	ctx  context.Context
@@ -205,7 +209,7 @@
 func (x *exchange) pick(tried []*pick.Worker) (*pick.Worker, *admit.Refusal) {
 	s := x.server
 	for {
-		worker, verdict := s.Picker.Pick(x.admission.Target.Service, s.Region, tried, s.Clock.Now())
+		worker, verdict := x.pickOnce(tried)
 		switch verdict {
 		case pick.Picked:
 			return worker, nil
@@ -218,6 +222,19 @@
 	}
 }
 
+// pickOnce looks for a worker, of the release that the request was given to.
+func (x *exchange) pickOnce(tried []*pick.Worker) (*pick.Worker, pick.Verdict) {
+	s, service := x.server, x.admission.Target.Service
+	if !x.chosen {
+		x.release, x.divided = s.Picker.Choose(service)
+		x.chosen = true
+	}
+	if x.divided {
+		return s.Picker.PickRelease(service, x.release, s.Region, tried, s.Clock.Now())
+	}
+	return s.Picker.Pick(service, s.Region, tried, s.Clock.Now())
+}
+
 // attempt sends the request to one worker, and passes the answer on. Again
 // tells that another worker may be tried.
 func (x *exchange) attempt(worker *pick.Worker) (refusal *admit.Refusal, again bool) {
@@ -225,7 +242,9 @@
 	if x.ctx.Err() != nil {
 		return x.ended(admit.ErrDeadlinePassed), false
 	}
+	start := x.server.Clock.Now()
 	response, err := x.server.Forwarder.Do(x.ctx, worker, x.outgoing())
+	x.observe(worker, start, response, err)
 	if err == nil {
 		defer response.Body.Close()
 		x.sent = true
@@ -235,6 +254,17 @@
 	return x.classify(err)
 }
 
+// observe counts the outcome for the worker's release, unless the caller gave
+// up or the worker did not run the request.
+func (x *exchange) observe(worker *pick.Worker, start clock.Instant, response *http.Response, err error) {
+	if errors.Is(err, transport.ErrNotRun) || errors.Is(x.r.Context().Err(), context.Canceled) {
+		return
+	}
+	subject := release.Subject{Service: worker.Info.Service, Release: worker.Info.Release, Route: x.admission.Target.Route}
+	failed := err != nil || response.StatusCode >= http.StatusInternalServerError
+	x.server.Recorder.Record(subject, x.server.Clock.Now().Sub(start), failed)
+}
+
 func (x *exchange) classify(err error) (*admit.Refusal, bool) {
 	replayable := x.small != nil || x.r.ContentLength == 0
 	if errors.Is(err, transport.ErrNotRun) {
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -22,6 +22,7 @@
 	"celerypin.example/celerypin/pkg/coordination/claim"
 	"celerypin.example/celerypin/pkg/coordination/lookup"
 	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
@@ -44,6 +45,7 @@
 	Hasher    key.Hasher
 	Borrower  Borrower
 	Picker    *pick.Picker
+	Recorder  *release.Recorder
 	Claims    *claim.Book
 	Forwarder *transport.Forwarder
 	Clock     clock.Clock
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -23,6 +23,7 @@
 	"celerypin.example/celerypin/internal/transport/route"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/coordination/commit"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
@@ -35,6 +36,7 @@
 	Look(func(a *agent.Agent, now clock.Instant))
 	Committed(row table.Row)
 	Withdraw(h key.Hash)
+	Retreat(r release.ID)
 	Attest(h id.Host, inc id.Incarnation)
 	Events() []timeline.Event
 }
@@ -78,6 +80,9 @@
 	router.GET(operator.HostsPath, s.guard(s.listHosts))
 	router.POST(operator.AttestPath, s.guard(s.attest))
 	router.GET(operator.BudgetsPath, s.guard(s.listBudgets))
+	router.GET(operator.ReleasesPath, s.guard(s.listReleases))
+	router.POST(operator.ReleasesPath, s.guard(s.startRelease))
+	router.POST(operator.RetreatPath, s.guard(s.retreat))
 	router.GET(operator.TimelinePath, s.guard(s.getTimeline))
 	router.GET(operator.MetricsPath, s.guard(s.getMetrics))
 }
--- a/pkg/coordination/agent/agent.go
+++ b/pkg/coordination/agent/agent.go
@@ -14,6 +14,7 @@
 	"celerypin.example/celerypin/pkg/coordination/budget"
 	"celerypin.example/celerypin/pkg/coordination/contact"
 	"celerypin.example/celerypin/pkg/coordination/lookup"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/coordination/replica"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/config"
@@ -80,6 +81,9 @@
 	Ring   *rcu.Cell[key.Ring]
 	Lookup *rcu.Cell[lookup.Table]
 	Pool   *budget.Pool[id.Account, unit.Tokens]
+	// Splits and Recorder serve the changes of release.
+	Splits   *release.Splits
+	Recorder *release.Recorder
 	// Keyed is valid while keyed requests may be served.
 	Keyed *budget.Lease
 }
@@ -109,12 +113,13 @@
 	nextOp   uint64
 	out      Output
 
-	lease   leaseState
-	control controlState
-	borrow  borrowState
-	marks   markState
-	demand  map[id.Account]*demandMeter
-	applied map[id.Account]table.Revision
+	lease    leaseState
+	control  controlState
+	borrow   borrowState
+	marks    markState
+	releases releaseState
+	demand   map[id.Account]*demandMeter
+	applied  map[id.Account]table.Revision
 
 	lastTick      clock.Instant
 	nextHeartbeat clock.Instant
@@ -164,6 +169,7 @@
 // host's time line.
 func New(self Identity, timing Timing, policies PolicyFor, record func(timeline.Kind, string, string)) *Agent {
 	shares := &budget.Lease{}
+	splits := release.NewSplits()
 	return &Agent{
 		self: self, timing: timing,
 		tracker: contact.New(self.Host, timing.Contact),
@@ -175,6 +181,7 @@
 			Lookup: rcu.New(lookup.Table{}),
 			Pool:   budget.New[id.Account, unit.Tokens](shares),
 			Keyed:  &budget.Lease{},
+			Splits: splits, Recorder: release.NewRecorder(splits),
 		},
 		policies:   policies,
 		record:     record,
@@ -182,6 +189,7 @@
 		handlers:   map[CallID]func(clock.Instant, Answer){},
 		borrow:     newBorrowState(self.Incarnation),
 		marks:      newMarkState(),
+		releases:   newReleaseState(),
 		control:    newControlState(),
 		demand:     map[id.Account]*demandMeter{},
 		applied:    map[id.Account]table.Revision{},
@@ -205,6 +213,7 @@
 	a.sendHeartbeats(now)
 	a.repayLoans(now)
 	a.borrowAhead(now)
+	a.judgeReleases(now)
 	a.spreadMarks(now)
 	a.publish(now)
 	a.lastTick = now
--- a/pkg/coordination/agent/control.go
+++ b/pkg/coordination/agent/control.go
@@ -147,7 +147,7 @@
 	var moves []string
 	if c.holding {
 		a.endSilentHosts(now, &txn)
-		moves = a.planBudgets(now, &txn)
+		moves = append(a.planBudgets(now, &txn), a.planReleases(now, &txn)...)
 	}
 	c.calling = true
 	a.call(Call{Txn: &txn}, func(done clock.Instant, answer Answer) {
--- a/pkg/coordination/agent/heartbeat.go
+++ b/pkg/coordination/agent/heartbeat.go
@@ -22,7 +22,8 @@
 	beat := Heartbeat{
 		Incarnation: a.self.Incarnation, Region: a.self.Region, FailureDomain: a.self.FailureDomain,
 		Leaving: a.lease.state == table.HostLeaving || a.lease.state == table.HostEnded || a.lease.stopped != 0,
-		Sent:    now, Complete: a.replica.Complete(), Config: a.replica.Revision(table.ConfigKey), Marks: a.marks.pending(),
+		Sent:    now, Complete: a.replica.Complete(), Config: a.replica.Revision(table.ConfigKey),
+		Marks: Marks{Keys: a.marks.keys.Unrecorded(), Releases: a.marks.releases.Unrecorded()},
 	}
 	beat.ReadAge = ageOf(now)(a.tracker.ReadAt())
 	beat.UpAge = ageOf(now)(a.tracker.UpAt())
@@ -30,6 +31,7 @@
 	if now >= a.nextLevels {
 		a.nextLevels = now.Add(levelsInterval)
 		beat.Levels = a.changedLevels(now)
+		beat.Outcomes = a.ownOutcomes()
 	}
 	for _, h := range a.knownHosts() {
 		personal := beat
@@ -115,7 +117,8 @@
 	}
 	if beat.Incarnation > p.incarnation {
 		*p = peerState{incarnation: beat.Incarnation, levels: map[id.Account]Level{}}
-		a.marks.forgetHost(from)
+		a.marks.keys.Forget(from)
+		a.marks.releases.Forget(from)
 	}
 	if beat.Sent <= p.theirSent {
 		return
@@ -127,7 +130,8 @@
 	for _, level := range beat.Levels {
 		p.levels[level.Account] = level
 	}
-	if len(beat.Marks) > 0 {
+	a.noteOutcomes(from, beat.Incarnation, beat.Outcomes)
+	if len(beat.Marks.Keys)+len(beat.Marks.Releases) > 0 {
 		a.hold(beat.Marks)
 	}
 	a.trust(now, from, beat)
--- a/pkg/coordination/agent/marks.go
+++ b/pkg/coordination/agent/marks.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"slices"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/mark"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
@@ -12,20 +13,24 @@
 	"celerypin.example/celerypin/pkg/state/timeline"
 )
 
-// markState holds the withdrawals of keys that this host knows.
+// markState holds the withdrawals that this host knows: of keys and of releases.
 type markState struct {
-	held map[key.Hash]bool
-	// confirmed holds which hosts have confirmed each withdrawal.
-	confirmed map[key.Hash]map[id.Host]bool
-	// unrecorded holds withdrawals that the table is not known to hold.
-	unrecorded map[key.Hash]bool
+	keys     *mark.Set[key.Hash]
+	releases *mark.Set[release.ID]
+	// reasons tells why releases were withdrawn by this host.
+	reasons    map[release.ID]string
 	calling    bool
 	nextSpread clock.Instant
-	dirty      bool
+	// ringDue tells that the ring of keys is out of date.
+	ringDue bool
 }
 
 func newMarkState() markState {
-	return markState{held: map[key.Hash]bool{}, confirmed: map[key.Hash]map[id.Host]bool{}, unrecorded: map[key.Hash]bool{}}
+	return markState{
+		keys:     mark.New(func(a, b key.Hash) int { return bytes.Compare(a[:], b[:]) }),
+		releases: mark.New(release.Compare),
+		reasons:  map[release.ID]string{},
+	}
 }
 
 // spreadPause is the time after which an unconfirmed withdrawal is sent again.
@@ -33,41 +38,62 @@
 
 // Withdraw puts the withdrawal of a key in force here, and starts to spread and to record it.
 func (a *Agent) Withdraw(now clock.Instant, h key.Hash) Output {
-	a.hold([]key.Hash{h})
+	a.hold(Marks{Keys: []key.Hash{h}})
+	a.spreadAtOnce(now)
+	return a.take()
+}
+
+func (a *Agent) spreadAtOnce(now clock.Instant) {
 	a.marks.nextSpread = 0
 	a.spreadMarks(now)
-	return a.take()
 }
 
 // hold adds withdrawals and puts them in force at once.
-func (a *Agent) hold(hashes []key.Hash) {
-	for _, h := range hashes {
-		if a.marks.held[h] {
-			continue
-		}
-		a.marks.held[h] = true
-		a.marks.confirmed[h] = map[id.Host]bool{}
-		a.marks.dirty = true
-		a.marks.unrecorded[h] = true
+func (a *Agent) hold(m Marks) {
+	for _, h := range a.marks.keys.Add(m.Keys) {
+		a.marks.ringDue = true
 		a.record(timeline.KeyWithdrawn, h.String()[:8], "mark received")
 	}
+	for _, r := range a.marks.releases.Add(m.Releases) {
+		a.record(timeline.ReleaseRetreated, string(r.Service)+" "+string(r.Release), orElse(a.marks.reasons[r], "mark received"))
+		a.publishSplits()
+	}
 	a.publishRing()
 }
 
+func orElse(text, fallback string) string {
+	if text == "" {
+		return fallback
+	}
+	return text
+}
+
 func (a *Agent) publishRing() {
-	if !a.marks.dirty {
+	if !a.marks.ringDue {
 		return
 	}
-	a.marks.dirty = false
+	a.marks.ringDue = false
 	var records []key.Record
 	for _, row := range a.replica.Rows(table.KeyPrefix) {
 		records = append(records, *row.Grant)
 	}
-	hashes := make([]key.Hash, 0, len(a.marks.held))
-	for h := range a.marks.held {
-		hashes = append(hashes, h)
+	a.view.Ring.Store(key.NewRing(records, a.marks.keys.Held()))
+}
+
+// noteRecorded drops the withdrawals that the complete rows cover by now.
+func (a *Agent) noteRecorded() {
+	covered := func(k table.Key, withdrawn func(table.Row) bool) bool {
+		row, ok := a.replica.Row(k)
+		return ok && withdrawn(row) && row.Revision <= a.replica.Complete()
 	}
-	a.view.Ring.Store(key.NewRing(records, hashes))
+	a.marks.keys.NoteRecorded(func(h key.Hash) bool {
+		return covered(table.GrantKey(h), func(row table.Row) bool { return row.Grant.Withdrawn })
+	})
+	a.marks.releases.NoteRecorded(func(r release.ID) bool {
+		return covered(table.ReleaseKey(r.Service), func(row table.Row) bool {
+			return row.Release.New != r.Release || row.Release.State == table.ReleaseRetreated
+		})
+	})
 }
 
 // spreadMarks sends withdrawals to the hosts that have not confirmed them, and
@@ -75,72 +101,30 @@
 func (a *Agent) spreadMarks(now clock.Instant) {
 	a.publishRing()
 	a.noteRecorded()
-	if len(a.marks.held) == 0 || now < a.marks.nextSpread {
+	if now < a.marks.nextSpread {
 		return
 	}
 	a.marks.nextSpread = now.Add(spreadPause)
 	for _, h := range a.knownHosts() {
-		var missing []key.Hash
-		for hash := range a.marks.held {
-			if !a.marks.confirmed[hash][h] {
-				missing = append(missing, hash)
-			}
-		}
-		if len(missing) > 0 {
-			a.send(h, Message{Marks: &Marks{Hashes: sorted(missing)}})
-		}
-	}
-	a.recordMarks(now)
-}
-
-// pending returns the withdrawals that the complete rows do not cover, in order.
-func (m *markState) pending() []key.Hash {
-	var out []key.Hash
-	for h := range m.unrecorded {
-		out = append(out, h)
-	}
-	return sorted(out)
-}
-
-func sorted(hashes []key.Hash) []key.Hash {
-	slices.SortFunc(hashes, func(x, y key.Hash) int { return bytes.Compare(x[:], y[:]) })
-	return hashes
-}
-
-// forgetHost drops the confirmations of a host that has started anew.
-func (m *markState) forgetHost(h id.Host) {
-	for _, hosts := range m.confirmed {
-		delete(hosts, h)
-	}
-}
-
-// noteRecorded drops the withdrawals that the complete rows cover by now.
-func (a *Agent) noteRecorded() {
-	for h := range a.marks.unrecorded {
-		row, ok := a.replica.Row(table.GrantKey(h))
-		if ok && row.Grant.Withdrawn && row.Revision <= a.replica.Complete() {
-			delete(a.marks.unrecorded, h)
+		missing := Marks{Keys: a.marks.keys.Missing(h), Releases: a.marks.releases.Missing(h)}
+		if len(missing.Keys)+len(missing.Releases) > 0 {
+			a.send(h, Message{Marks: &missing})
 		}
 	}
+	a.recordMarks()
 }
 
 // recordMarks writes unrecorded withdrawals to the table, all in one transaction.
-func (a *Agent) recordMarks(now clock.Instant) {
-	if a.marks.calling || len(a.marks.unrecorded) == 0 || a.replica.Complete() == 0 {
+func (a *Agent) recordMarks() {
+	if a.marks.calling || a.replica.Complete() == 0 {
 		return
 	}
 	txn := table.Txn{Operation: a.operation("withdraw")}
-	for _, h := range a.marks.pending() {
-		rec := key.Record{Hash: h, Withdrawn: true}
-		if row, ok := a.replica.Row(table.GrantKey(h)); ok {
-			if row.Grant.Withdrawn {
-				continue
-			}
-			rec.Account = row.Grant.Account
-		}
-		k := table.GrantKey(h)
-		txn.Conditions = append(txn.Conditions, table.Condition{Key: k, Revision: a.replica.Revision(k)})
-		txn.Puts = append(txn.Puts, table.Row{Key: k, Operation: txn.Operation, Grant: &rec})
+	for _, h := range a.marks.keys.Unrecorded() {
+		a.addKeyMark(&txn, h)
+	}
+	for _, r := range a.marks.releases.Unrecorded() {
+		a.addReleaseMark(&txn, r)
 	}
 	if len(txn.Puts) == 0 {
 		return
@@ -148,7 +132,7 @@
 	a.marks.calling = true
 	a.call(Call{Txn: &txn}, func(done clock.Instant, answer Answer) {
 		a.marks.calling = false
-		a.marks.dirty = true
+		a.marks.ringDue = true
 		if a.conflicted(done, answer) || answer.Err != nil {
 			return
 		}
@@ -156,24 +140,43 @@
 	})
 }
 
-func (a *Agent) receiveMarks(from id.Host, m *Marks) {
-	a.hold(m.Hashes)
-	for _, h := range m.Hashes {
-		a.confirm(h, from)
+func (a *Agent) addKeyMark(txn *table.Txn, h key.Hash) {
+	rec := key.Record{Hash: h, Withdrawn: true}
+	if row, ok := a.replica.Row(table.GrantKey(h)); ok {
+		if row.Grant.Withdrawn {
+			return
+		}
+		rec.Account = row.Grant.Account
 	}
-	a.send(from, Message{MarksHeld: &MarksHeld{Hashes: m.Hashes}})
+	a.addPut(txn, table.Row{Key: table.GrantKey(h), Grant: &rec})
 }
 
-func (a *Agent) receiveMarksHeld(from id.Host, m *MarksHeld) {
-	for _, h := range m.Hashes {
-		a.confirm(h, from)
+func (a *Agent) addReleaseMark(txn *table.Txn, r release.ID) {
+	row, ok := a.replica.Row(table.ReleaseKey(r.Service))
+	if !ok || row.Release.New != r.Release || row.Release.State == table.ReleaseRetreated {
+		return
 	}
+	next := *row.Release
+	next.State, next.Share, next.Reason = table.ReleaseRetreated, 0, orElse(a.marks.reasons[r], "withdrawn by a host")
+	a.addPut(txn, table.Row{Key: row.Key, Release: &next})
 }
 
-func (a *Agent) confirm(hash key.Hash, h id.Host) {
-	if a.marks.confirmed[hash] != nil {
-		a.marks.confirmed[hash][h] = true
-	}
+// addPut adds a row under the condition that it has not changed since it was read.
+func (a *Agent) addPut(txn *table.Txn, row table.Row) {
+	row.Operation = txn.Operation
+	txn.Conditions = append(txn.Conditions, table.Condition{Key: row.Key, Revision: a.replica.Revision(row.Key)})
+	txn.Puts = append(txn.Puts, row)
+}
+
+func (a *Agent) receiveMarks(from id.Host, m *Marks) {
+	a.hold(*m)
+	a.receiveMarksHeld(from, m)
+	a.send(from, Message{MarksHeld: m})
+}
+
+func (a *Agent) receiveMarksHeld(from id.Host, m *Marks) {
+	a.marks.keys.Confirm(m.Keys, from)
+	a.marks.releases.Confirm(m.Releases, from)
 }
 
 // Withdrawal tells where a withdrawal is in force.
@@ -183,11 +186,20 @@
 	Recorded bool
 }
 
-// WithdrawalOf reports on one withdrawal that was raised here or received.
+// WithdrawalOf reports on the withdrawal of a key that was raised here or received.
 func (a *Agent) WithdrawalOf(h key.Hash) Withdrawal {
-	w := Withdrawal{InForce: []id.Host{a.self.Host}, Recorded: a.marks.held[h] && !a.marks.unrecorded[h]}
+	return a.withdrawal(a.marks.keys.Recorded(h), func(other id.Host) bool { return a.marks.keys.Confirmed(h, other) })
+}
+
+// RetreatOf reports on the withdrawal of a release.
+func (a *Agent) RetreatOf(r release.ID) Withdrawal {
+	return a.withdrawal(a.marks.releases.Recorded(r), func(other id.Host) bool { return a.marks.releases.Confirmed(r, other) })
+}
+
+func (a *Agent) withdrawal(recorded bool, confirmed func(id.Host) bool) Withdrawal {
+	w := Withdrawal{InForce: []id.Host{a.self.Host}, Recorded: recorded}
 	for _, other := range a.knownHosts() {
-		if a.marks.confirmed[h][other] {
+		if confirmed(other) {
 			w.InForce = append(w.InForce, other)
 			continue
 		}
--- a/pkg/coordination/agent/message.go
+++ b/pkg/coordination/agent/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
@@ -19,7 +20,8 @@
 	Loan      *Loan
 	Repay     *Repay
 	Marks     *Marks
-	MarksHeld *MarksHeld
+	// MarksHeld confirms withdrawals.
+	MarksHeld *Marks
 }
 
 // Heartbeat tells that a host is alive and what it knows.
@@ -47,8 +49,9 @@
 
 	Config table.Revision
 	// Marks are the withdrawals that Complete does not cover.
-	Marks  []key.Hash
-	Levels []Level
+	Marks    Marks
+	Levels   []Level
+	Outcomes []Outcome
 }
 
 // Age is a duration since something happened; the zero Age means "never".
@@ -96,11 +99,11 @@
 	Unspent unit.Tokens
 }
 
-// Marks passes on withdrawals of keys.
-type Marks struct{ Hashes []key.Hash }
-
-// MarksHeld confirms that withdrawals are in force at the sender.
-type MarksHeld struct{ Hashes []key.Hash }
+// Marks passes on withdrawals, or confirms that they are in force at the sender.
+type Marks struct {
+	Keys     []key.Hash
+	Releases []release.ID
+}
 
 // Send is a message to be sent to one host. It may be lost, doubled or late.
 type Send struct {
--- a/pkg/coordination/agent/rows.go
+++ b/pkg/coordination/agent/rows.go
@@ -96,7 +96,9 @@
 	case row.Key == table.ConfigKey:
 		a.applyConfig(now, row)
 	case row.Key.Has(table.KeyPrefix):
-		a.marks.dirty = true
+		a.marks.ringDue = true
+	case row.Key.Has(table.ReleasePrefix):
+		a.applyRelease(row)
 	case row.Key == table.ControlKey:
 		a.observeControl(now, row)
 	}
--- a/pkg/coordination/pick/pick.go
+++ b/pkg/coordination/pick/pick.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -116,16 +117,33 @@
 // Picker holds the workers of all services. The snapshot is replaced whole.
 type Picker struct {
 	services *rcu.Cell[map[id.Service]*pool]
+	splits   *release.Splits
 }
 
-// pool lists a service's workers, by region.
+// pool lists a service's workers, of any release and of each one.
 type pool struct {
+	group
+	releases map[id.Release]*group
+}
+
+// group lists workers, by region.
+type group struct {
 	all     []*Worker
 	regions map[id.Region][]*Worker
 }
 
-// New returns a picker without workers.
-func New() *Picker { return &Picker{services: rcu.New(map[id.Service]*pool{})} }
+func (g *group) add(w *Worker) {
+	if g.regions == nil {
+		g.regions = map[id.Region][]*Worker{}
+	}
+	g.all = append(g.all, w)
+	g.regions[w.Info.Region] = append(g.regions[w.Info.Region], w)
+}
+
+// New returns a picker without workers that divides requests between releases by splits.
+func New(splits *release.Splits) *Picker {
+	return &Picker{services: rcu.New(map[id.Service]*pool{}), splits: splits}
+}
 
 // Update replaces the list of upstreams; counts of those that stay are kept.
 func (p *Picker) Update(list []fleet.Upstream) {
@@ -140,12 +158,15 @@
 		for _, info := range list {
 			s := next[info.Service]
 			if s == nil {
-				s = &pool{regions: map[id.Region][]*Worker{}}
+				s = &pool{releases: map[id.Release]*group{}}
 				next[info.Service] = s
 			}
+			if s.releases[info.Release] == nil {
+				s.releases[info.Release] = &group{}
+			}
 			w := keep(known[info.ID], info)
-			s.all = append(s.all, w)
-			s.regions[info.Region] = append(s.regions[info.Region], w)
+			s.add(w)
+			s.releases[info.Release].add(w)
 		}
 		return next
 	})
@@ -186,6 +207,16 @@
 	Gone
 )
 
+// Choose returns the release that the next request of a service goes to, if the
+// service is divided between two.
+func (p *Picker) Choose(service id.Service) (chosen id.Release, divided bool) {
+	split, divided := p.splits.Of(service)
+	if !divided {
+		return "", false
+	}
+	return split.Next(), true
+}
+
 // Pick takes a slot of a worker: of two random ones in the region the less
 // loaded, or any that accepts work. Not lists workers that the request has
 // tried already. The caller must call Done on the worker.
@@ -194,10 +225,34 @@
 	if s == nil || len(s.all) == 0 {
 		return nil, Gone
 	}
-	if w := pickFrom(s.regions[region], not, now); w != nil {
+	return s.pick(region, not, now)
+}
+
+// PickRelease is Pick for a request that Choose has given to a release. If no
+// worker of the new release accepts work, the old one takes the request; never
+// the other way round, because that would exceed the new one's share.
+func (p *Picker) PickRelease(service id.Service, chosen id.Release, region id.Region, not []*Worker, now clock.Instant) (*Worker, Verdict) {
+	s := (*p.services.Load())[service]
+	if s == nil || len(s.all) == 0 {
+		return nil, Gone
+	}
+	if g := s.releases[chosen]; g != nil {
+		if w, verdict := g.pick(region, not, now); verdict == Picked {
+			return w, Picked
+		}
+	}
+	split, divided := p.splits.Of(service)
+	if !divided || chosen != split.New || s.releases[split.Old] == nil {
+		return nil, Busy
+	}
+	return s.releases[split.Old].pick(region, not, now)
+}
+
+func (g *group) pick(region id.Region, not []*Worker, now clock.Instant) (*Worker, Verdict) {
+	if w := pickFrom(g.regions[region], not, now); w != nil {
 		return w, Picked
 	}
-	if w := pickFrom(s.all, not, now); w != nil {
+	if w := pickFrom(g.all, not, now); w != nil {
 		return w, Picked
 	}
 	return nil, Busy
--- a/pkg/coordination/pick/pick_test.go
+++ b/pkg/coordination/pick/pick_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -27,7 +28,7 @@
 
 // TestSlotsAreNeverExceeded picks from several threads.
 func TestSlotsAreNeverExceeded(t *testing.T) {
-	p := New()
+	p := New(release.NewSplits())
 	p.Update(workers(4, 3))
 	var picked atomic.Int64
 	var threads sync.WaitGroup
@@ -71,7 +72,7 @@
 		{"gone from the list", func(p *Picker, _ *Worker) { p.Update(nil) }, 0, Gone},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p := New()
+			p := New(release.NewSplits())
 			p.Update(workers(1, 1))
 			c.spoil(p, p.Workers()[0])
 			if _, got := p.Pick("s", "r0", nil, now.Add(c.after)); got != c.want {
@@ -82,7 +83,7 @@
 }
 
 func TestTriedWorkersAreNotPickedAgain(t *testing.T) {
-	p := New()
+	p := New(release.NewSplits())
 	p.Update(workers(3, 1))
 	var tried []*Worker
 	for range 3 {
@@ -99,7 +100,7 @@
 }
 
 func TestOwnRegionGoesFirst(t *testing.T) {
-	p := New()
+	p := New(release.NewSplits())
 	p.Update(workers(4, 2))
 	for n := range 8 {
 		w, _ := p.Pick("s", "r1", nil, now)
@@ -112,7 +113,7 @@
 // TestCountsOutliveTheList holds that requests under way still count after the
 // list has been read again.
 func TestCountsOutliveTheList(t *testing.T) {
-	p := New()
+	p := New(release.NewSplits())
 	p.Update(workers(1, 2))
 	w, _ := p.Pick("s", "r0", nil, now)
 	changed := workers(1, 1)
--- /dev/null
+++ b/pkg/coordination/release/split.go
@@ -0,0 +1,80 @@
+// Package release moves the traffic of a service from one release of its
+// upstreams to another: in committed steps, bounded, judged by what requests
+// show, and taken back at once when the new release is bad.
+package release
+
+import (
+	"cmp"
+	"sync/atomic"
+
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/rcu"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+// ID names a release of a service.
+type ID struct {
+	Service id.Service
+	Release id.Release
+}
+
+// Compare orders releases by service and name.
+func Compare(a, b ID) int {
+	if c := cmp.Compare(a.Service, b.Service); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Release, b.Release)
+}
+
+// Split tells how the requests of a service are divided between two releases.
+type Split struct {
+	Old, New id.Release
+	// Share is the new release's part of the requests.
+	Share table.Milli
+	// count numbers the requests that were divided.
+	count *atomic.Uint64
+}
+
+// Next returns the release for the next request. Of any n requests in a row at
+// this host the new release gets at most n times its share, and one.
+func (s Split) Next() id.Release {
+	n := s.count.Add(1)
+	share := uint64(s.Share)
+	if n*share/uint64(table.Whole) > (n-1)*share/uint64(table.Whole) {
+		return s.New
+	}
+	return s.Old
+}
+
+// Splits holds the split of each service that has one. It is replaced whole.
+type Splits struct {
+	cell *rcu.Cell[map[id.Service]Split]
+}
+
+// NewSplits returns splits without any service.
+func NewSplits() *Splits { return &Splits{cell: rcu.New(map[id.Service]Split{})} }
+
+// Of returns the split of a service, if it has one.
+func (s *Splits) Of(service id.Service) (Split, bool) {
+	split, ok := (*s.cell.Load())[service]
+	return split, ok
+}
+
+// Set replaces all splits by those of the committed records. A release that is
+// marked as bad gets nothing, whatever is committed.
+func (s *Splits) Set(records []table.Release, bad func(ID) bool) {
+	s.cell.Update(func(old map[id.Service]Split) map[id.Service]Split {
+		next := make(map[id.Service]Split, len(records))
+		for _, r := range records {
+			split := Split{Old: r.Old, New: r.New, Share: r.Share, count: &atomic.Uint64{}}
+			if known, ok := old[r.Service]; ok && known.New == r.New {
+				split.count = known.count
+			}
+			if r.State == table.ReleaseRetreated || bad(ID{r.Service, r.New}) {
+				split.Share = 0
+			}
+			next[r.Service] = split
+		}
+		return next
+	})
+}
--- a/pkg/state/table/table.go
+++ b/pkg/state/table/table.go
@@ -35,6 +35,8 @@
 	// HistoryPrefix is the kind of rows that hold earlier configurations.
 	HistoryPrefix Key = "history/"
 	ClaimPrefix   Key = "claim/"
+	// ReleasePrefix is the kind of rows that hold changes of release.
+	ReleasePrefix Key = "release/"
 	ConfigKey     Key = "config"
 	ControlKey    Key = "control"
 )
@@ -52,6 +54,9 @@
 // kept. Keys sort in the order of revisions.
 func HistoryKey(r Revision) Key { return HistoryPrefix + Key(fmt.Sprintf("%020d", uint64(r))) }
 
+// ReleaseKey returns the key of a service's release row.
+func ReleaseKey(s id.Service) Key { return ReleasePrefix + Key(s) }
+
 // ClaimKey returns the key of the claim of a non-idempotent request.
 func ClaimKey(a id.Account, r id.Request) Key { return ClaimPrefix + Key(a) + "/" + Key(r) }
 
@@ -71,6 +76,7 @@
 	Config  *config.Config `json:"config,omitempty"`
 	Grant   *key.Record    `json:"grant,omitempty"`
 	Claim   *Claim         `json:"claim,omitempty"`
+	Release *Release       `json:"release,omitempty"`
 }
 
 // HostState tells where a host is in its life.
@@ -129,6 +135,38 @@
 	Grants  []Grant    `json:"grants,omitempty"`
 }
 
+// Milli is a part of a whole in thousandths.
+type Milli int64
+
+// Whole is all of something.
+const Whole Milli = 1000
+
+// ReleaseState tells how a change of release stands.
+type ReleaseState string
+
+// States of a change of release.
+const (
+	// ReleaseGrowing means that the new release's share grows step by step.
+	ReleaseGrowing ReleaseState = "growing"
+	// ReleaseDone means that the new release carries the traffic.
+	ReleaseDone ReleaseState = "done"
+	// ReleaseRetreated means that the old release carries the traffic again. It is final.
+	ReleaseRetreated ReleaseState = "retreated"
+)
+
+// Release is the change of one service from an old release to a new one.
+type Release struct {
+	Service id.Service   `json:"service"`
+	Old     id.Release   `json:"old"`
+	New     id.Release   `json:"new"`
+	Share   Milli        `json:"share_milli"`
+	State   ReleaseState `json:"state"`
+	// Deadline is the time in which a good release should carry the traffic.
+	Deadline config.Duration `json:"deadline"`
+	// Reason tells why the release was taken back.
+	Reason string `json:"reason,omitempty"`
+}
+
 // ClaimState tells how far a claimed request got.
 type ClaimState string
 
--- a/pkg/state/timeline/timeline.go
+++ b/pkg/state/timeline/timeline.go
@@ -32,6 +32,8 @@
 	StoreBack        Kind = "store_back"
 	KeyedRefused     Kind = "keyed_refused"
 	KeyedServed      Kind = "keyed_served"
+	ReleaseStepped   Kind = "release_stepped"
+	ReleaseRetreated Kind = "release_retreated"
 	UpstreamAvoided  Kind = "upstream_avoided"
 	UpstreamRestored Kind = "upstream_restored"
 )
