Wait for a slot in a queue that is fair between accounts

Cause: each waiting request looked for a slot every 5 ms, and whichever looked first after one became free got it; an account that floods got most of them. Change: a queue for each service, turns round the accounts, signalled by the end of requests. After a wait a request may use a worker again that had shed it, instead of waiting for its deadline. TestPromiseTurnsAreFair, TestFloodWaitsForItself: a flood of forty delays another account's first request by one turn. Not measured over sockets yet.

--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -202,13 +202,22 @@
 	return last
 }
 
-// pickPause is the time between two looks for a free slot.
-const pickPause = 5 * time.Millisecond
+// turnPatience is the longest wait for a turn before a request looks again,
+// because a worker can become usable without a request having ended.
+const turnPatience = 25 * time.Millisecond
 
-// pick waits for a free slot until the deadline.
+// pick waits for a free slot until the deadline. While others wait for the same
+// service, a request waits its turn, fairly between accounts. After a wait even
+// a worker that the request has tried may serve it.
 func (x *exchange) pick(tried []*pick.Worker) (*pick.Worker, *admit.Refusal) {
-	s := x.server
-	for {
+	line := x.server.queueOf(x.admission.Target.Service)
+	for turn := line.Empty(); ; turn = line.Wait(x.ctx, x.admission.Account, turnPatience) {
+		if x.ctx.Err() != nil {
+			return nil, admit.ErrUpstreamsBusy
+		}
+		if !turn {
+			continue
+		}
 		worker, verdict := x.pickOnce(tried)
 		switch verdict {
 		case pick.Picked:
@@ -216,9 +225,7 @@
 		case pick.Gone:
 			return nil, admit.ErrUpstreamsGone
 		}
-		if !s.Clock.Sleep(x.ctx, pickPause) {
-			return nil, admit.ErrUpstreamsBusy
-		}
+		tried = nil
 	}
 }
 
@@ -238,6 +245,7 @@
 // attempt sends the request to one worker, and passes the answer on. Again
 // tells that another worker may be tried.
 func (x *exchange) attempt(worker *pick.Worker) (refusal *admit.Refusal, again bool) {
+	defer x.server.queueOf(worker.Info.Service).Signal()
 	defer worker.Done()
 	if x.ctx.Err() != nil {
 		return x.ended(admit.ErrDeadlinePassed), false
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +23,7 @@
 	"celerypin.example/celerypin/pkg/coordination/claim"
 	"celerypin.example/celerypin/pkg/coordination/lookup"
 	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/coordination/queue"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -61,6 +63,7 @@
 type Server struct {
 	Parts
 	seed     maphash.Seed
+	queues   *rcu.Cell[map[id.Service]*queue.Fair[id.Account]]
 	stopping atomic.Bool
 	served   metrics.Counter
 	refused  metrics.Counter
@@ -74,6 +77,7 @@
 	return &Server{
 		Parts:   p,
 		seed:    maphash.MakeSeed(),
+		queues:  rcu.New(map[id.Service]*queue.Fair[id.Account]{}),
 		served:  metrics.NewRegisteredCounter("requests.served", p.Metrics),
 		refused: metrics.NewRegisteredCounter("requests.refused_not_run", p.Metrics),
 		unknown: metrics.NewRegisteredCounter("requests.outcome_unknown", p.Metrics),
@@ -82,6 +86,22 @@
 	}
 }
 
+// queueOf returns the queue in which requests wait for a slot of a service.
+func (s *Server) queueOf(service id.Service) *queue.Fair[id.Account] {
+	if q := (*s.queues.Load())[service]; q != nil {
+		return q
+	}
+	s.queues.Update(func(old map[id.Service]*queue.Fair[id.Account]) map[id.Service]*queue.Fair[id.Account] {
+		if old[service] != nil {
+			return old
+		}
+		next := maps.Clone(old)
+		next[service] = queue.New[id.Account](s.Clock)
+		return next
+	})
+	return (*s.queues.Load())[service]
+}
+
 // Register adds the routes of callers to a router.
 func (s *Server) Register(router *bunrouter.Router) {
 	router.GET(caller.LookupPath, route.Handler(s.lookUp))
