Move callers between regions in steps under a cap

Change: pkg/coordination/shift, one row for a region, steps by the controller, a limiter at each host, celerypin shift start|status|undo. Found by TestShiftIsStartedOnceAndUndone (seen failing): a repeated undo wrote the row again and put the next step off; it now changes nothing. TestPromiseShiftNeverExceedsCap first failed for callers that were sent to another region because no host of their own could be used; the trace shows that as allowed (a failover, not the shift), so the test now asks what the shift does. Likewise a process that answers no look-ups yet is not watched.

--- a/cmd/celerypin/cmds/cmds.go
+++ b/cmd/celerypin/cmds/cmds.go
@@ -72,7 +72,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), standinCommand(), demoCommand(),
-			lookupCommand(), configCommand(), keyCommand(), hostsCommand(), versionCommand(), timelineCommand(),
+			lookupCommand(), configCommand(), keyCommand(), hostsCommand(), versionCommand(), shiftCommand(), timelineCommand(),
 		},
 	}
 }
--- a/internal/daemon/operator_test.go
+++ b/internal/daemon/operator_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	protocol "celerypin.example/celerypin/internal/protocol/operator"
 	platformprotocol "celerypin.example/celerypin/internal/protocol/platform"
@@ -122,3 +123,33 @@
 		})
 	}
 }
+
+// TestShiftIsStartedOnceAndUndone starts a shift, refuses a second one, and takes
+// the first back.
+func TestShiftIsStartedOnceAndUndone(t *testing.T) {
+	d := newDeployment(t, 1)
+	ctx := context.Background()
+	start := protocol.ShiftStart{From: "r0", To: "r1", Target: 500, Cap: 500, Interval: config.Duration(100 * time.Millisecond)}
+	send := func() (protocol.ShiftEntry, error) {
+		return operator.Send[protocol.ShiftStart, protocol.ShiftEntry](ctx, d.operator(0), http.MethodPost, protocol.ShiftsPath, start)
+	}
+	if _, err := send(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := send(); !errors.Is(err, operator.ErrConflict) {
+		t.Errorf("got %v for a second shift of the region, want a conflict", err)
+	}
+	d.eventually("the shift to finish", func() bool { return d.shiftState() == table.ShiftFinished })
+	d.eventually("the shift to be undone", func() bool {
+		_, _ = operator.Send[protocol.ShiftUndo, protocol.ShiftEntry](ctx, d.operator(0), http.MethodPost, protocol.UndoPath, protocol.ShiftUndo{From: "r0"})
+		return d.shiftState() == table.ShiftUndone
+	})
+}
+
+func (d *deployment) shiftState() table.ShiftState {
+	list, err := operator.Get[protocol.ShiftList](context.Background(), d.operator(0), protocol.ShiftsPath)
+	if err != nil || len(list.Shifts) != 1 {
+		return ""
+	}
+	return list.Shifts[0].Shift.State
+}
--- a/internal/protocol/operator/operator.go
+++ b/internal/protocol/operator/operator.go
@@ -20,6 +20,8 @@
 	BudgetsPath  = "/celerypin/v1/operator/budgets"
 	ReleasesPath = "/celerypin/v1/operator/releases"
 	RetreatPath  = "/celerypin/v1/operator/releases/retreat"
+	ShiftsPath   = "/celerypin/v1/operator/shifts"
+	UndoPath     = "/celerypin/v1/operator/shifts/undo"
 	TimelinePath = "/celerypin/v1/operator/timeline"
 	MetricsPath  = "/celerypin/v1/metrics"
 )
@@ -160,6 +162,31 @@
 	Release  table.Release  `json:"release"`
 }
 
+// ShiftStart begins a shift of callers; shares are in thousandths.
+type ShiftStart struct {
+	From     id.Region       `json:"from" validate:"required"`
+	To       id.Region       `json:"to" validate:"required"`
+	Target   table.Milli     `json:"target_milli" validate:"gt=0,lte=1000"`
+	Cap      table.Milli     `json:"cap_milli" validate:"gt=0,lte=1000"`
+	Interval config.Duration `json:"interval" validate:"gt=0"`
+}
+
+// ShiftUndo takes a shift back.
+type ShiftUndo struct {
+	From id.Region `json:"from" validate:"required"`
+}
+
+// ShiftList lists the shifts, one for each region.
+type ShiftList struct {
+	Shifts []ShiftEntry `json:"shifts"`
+}
+
+// ShiftEntry is one shift.
+type ShiftEntry struct {
+	Revision table.Revision `json:"revision"`
+	Shift    table.Shift    `json:"shift"`
+}
+
 // Timeline carries the events of one host.
 type Timeline struct {
 	Events []timeline.Event `json:"events"`
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -83,6 +83,9 @@
 	router.GET(operator.ReleasesPath, s.guard(s.listReleases))
 	router.POST(operator.ReleasesPath, s.guard(s.startRelease))
 	router.POST(operator.RetreatPath, s.guard(s.retreat))
+	router.GET(operator.ShiftsPath, s.guard(s.listShifts))
+	router.POST(operator.ShiftsPath, s.guard(s.startShift))
+	router.POST(operator.UndoPath, s.guard(s.undoShift))
 	router.GET(operator.TimelinePath, s.guard(s.getTimeline))
 	router.GET(operator.MetricsPath, s.guard(s.getMetrics))
 }
--- a/pkg/coordination/agent/agent.go
+++ b/pkg/coordination/agent/agent.go
@@ -118,6 +118,7 @@
 	borrow   borrowState
 	marks    markState
 	releases releaseState
+	shifts   shiftState
 	demand   map[id.Account]*demandMeter
 	applied  map[id.Account]table.Revision
 
@@ -190,6 +191,7 @@
 		borrow:     newBorrowState(self.Incarnation),
 		marks:      newMarkState(),
 		releases:   newReleaseState(),
+		shifts:     newShiftState(),
 		control:    newControlState(),
 		demand:     map[id.Account]*demandMeter{},
 		applied:    map[id.Account]table.Revision{},
--- a/pkg/coordination/agent/control.go
+++ b/pkg/coordination/agent/control.go
@@ -148,6 +148,7 @@
 	if c.holding {
 		a.endSilentHosts(now, &txn)
 		moves = append(a.planBudgets(now, &txn), a.planReleases(now, &txn)...)
+		a.planShifts(now, &txn)
 	}
 	c.calling = true
 	a.call(Call{Txn: &txn}, func(done clock.Instant, answer Answer) {
--- /dev/null
+++ b/pkg/coordination/agent/promise_shift_test.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celerypin.example/celerypin/pkg/coordination/lookup"
+	"celerypin.example/celerypin/pkg/coordination/shift"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+// movable is a caller with the share of a shift from which on it is moved.
+type movable struct {
+	seed  uint64
+	share table.Milli
+}
+
+// movables finds, through look-ups alone, from which share on each caller is moved.
+func movables() []movable {
+	tables := make([]lookup.Table, table.Whole+1)
+	for share := range tables {
+		tables[share] = lookup.New(lookup.Inputs{Shifts: []lookup.Shift{{From: "r1", To: "r2", Share: table.Milli(share)}}})
+	}
+	var out []movable
+	for seed := range uint64(400) {
+		for share := range tables {
+			if tables[share].Shifted("r1", seed) == "r2" {
+				out = append(out, movable{seed, table.Milli(share)})
+				break
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b movable) int { return cmp.Compare(a.share, b.share) })
+	return out
+}
+
+// moved returns the share in force at a host. Callers that are sent elsewhere
+// because no host of their region can be used are not moved by the shift.
+func (f *simFleet) moved(h *simHost, callers []movable) table.Milli {
+	lookups := h.agent.View().Lookup.Load()
+	stay := sort.Search(len(callers), func(i int) bool { return lookups.Shifted("r1", callers[i].seed) != "r2" })
+	if stay == 0 {
+		return 0
+	}
+	return callers[stay-1].share
+}
+
+const (
+	shiftCap      = table.Milli(100)
+	shiftInterval = 3 * time.Second
+)
+
+func (f *simFleet) startShift() {
+	s := table.Shift{From: "r1", To: "r2", Target: 600, Cap: shiftCap, Interval: config.Duration(shiftInterval), State: table.ShiftMoving}
+	_, _ = f.table.Commit(context.Background(), table.Txn{Operation: "shift", Puts: []table.Row{{Key: table.ShiftKey("r1"), Shift: &s}}})
+}
+
+// undoShift takes the shift back as an operator would, from the state of the table.
+func (f *simFleet) undoShift() {
+	rows, _ := f.table.Rows(context.Background(), []table.Key{table.ShiftKey("r1")})
+	next := shift.Undo(*rows[0].Shift)
+	_, _ = f.table.Commit(context.Background(), table.Txn{Operation: "undo", Puts: []table.Row{{Key: rows[0].Key, Shift: &next}}})
+}
+
+// shiftWatch keeps what was in force at one process life, for the last interval.
+type shiftWatch struct {
+	times  []clock.Instant
+	shares []table.Milli
+}
+
+// TestPromiseShiftNeverExceedsCap checks, over random schedules of faults, that
+// within any interval no host moves more callers than the cap, in either
+// direction, and that the shift ends finished or undone once the faults are over.
+func TestPromiseShiftNeverExceedsCap(t *testing.T) {
+	callers := movables()
+	// A caller that is moved shows the share only to within the gap between two callers.
+	const gap = table.Milli(25)
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), 3, 2, hangRaoDelays, DemandPolicy, testAccounts)
+		f.run(3 * time.Second)
+		f.startShift()
+		watches := map[incarnationOf]*shiftWatch{}
+		var watch func()
+		watch = func() {
+			for _, h := range f.hosts {
+				life := incarnationOf{h.id, id.Incarnation(h.life)}
+				answers := h.agent.View().Lookup.Load().Hosts() > 0
+				if h.dead || h.frozen || !answers {
+					continue
+				}
+				if watches[life] == nil {
+					watches[life] = &shiftWatch{}
+				}
+				f.checkShift(t, h, watches[life], f.moved(h, callers), gap)
+			}
+			f.at(200*time.Millisecond, watch)
+		}
+		watch()
+		schedule(t, f, func() {
+			if rapid.IntRange(0, 5).Draw(t, "undo") == 0 {
+				f.undoShift()
+			}
+		})
+		f.store = storeFault{}
+		f.heal()
+		for _, h := range f.hosts {
+			f.wake(h)
+			if h.dead {
+				f.start(h)
+			}
+		}
+		f.run(60 * time.Second)
+		rows, _ := f.table.Rows(context.Background(), []table.Key{table.ShiftKey("r1")})
+		if s := rows[0].Shift.State; s != table.ShiftFinished && s != table.ShiftUndone {
+			t.Errorf("got the shift %s long after all faults have ended, want it finished or undone", s)
+		}
+	})
+}
+
+func (f *simFleet) checkShift(t logger, h *simHost, w *shiftWatch, share, gap table.Milli) {
+	w.times, w.shares = append(w.times, f.now), append(w.shares, share)
+	for f.now.Sub(w.times[0]) >= shiftInterval {
+		w.times, w.shares = w.times[1:], w.shares[1:]
+	}
+	for _, earlier := range w.shares {
+		if change := max(share-earlier, earlier-share); change > shiftCap+gap {
+			t.Errorf("host %s: got %d of 1000 callers moved within %v, want at most %d", h.id, change, shiftInterval, shiftCap)
+			w.times, w.shares = w.times[:0], w.shares[:0]
+			return
+		}
+	}
+}
+
+// TestShiftFinishesAndIsUndone follows a shift without faults to its end and back.
+func TestShiftFinishesAndIsUndone(t *testing.T) {
+	callers := movables()
+	f := newFleet(4, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(3 * time.Second)
+	f.startShift()
+	f.run(40 * time.Second)
+	if got := f.moved(f.hosts[0], callers); got < 575 || got > 600 {
+		t.Errorf("got %d of 1000 callers moved, want 600", got)
+	}
+	f.undoShift()
+	f.run(40 * time.Second)
+	if got := f.moved(f.hosts[0], callers); got != 0 {
+		t.Errorf("got %d of 1000 callers still moved after the undoing, want none", got)
+	}
+	rows, _ := f.table.Rows(context.Background(), []table.Key{table.ShiftKey("r1")})
+	if rows[0].Shift.State != table.ShiftUndone {
+		t.Errorf("got state %s, want undone", rows[0].Shift.State)
+	}
+}
--- a/pkg/coordination/agent/publish.go
+++ b/pkg/coordination/agent/publish.go
@@ -46,6 +46,7 @@
 			in.Holders[row.Budget.Account] = append(in.Holders[row.Budget.Account], lookup.Holder{Host: g.Host, Weight: int64(g.Share.Rate)})
 		}
 	}
+	in.Shifts = a.shiftsInForce(now)
 	return in
 }
 
--- a/pkg/coordination/agent/rows.go
+++ b/pkg/coordination/agent/rows.go
@@ -97,6 +97,8 @@
 		a.applyConfig(now, row)
 	case row.Key.Has(table.KeyPrefix):
 		a.marks.ringDue = true
+	case row.Key.Has(table.ShiftPrefix):
+		a.applyShift(row)
 	case row.Key.Has(table.ReleasePrefix):
 		a.applyRelease(row)
 	case row.Key == table.ControlKey:
--- a/pkg/coordination/lookup/lookup.go
+++ b/pkg/coordination/lookup/lookup.go
@@ -7,6 +7,7 @@
 
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/table"
 )
 
 // MaxHosts is the most hosts that an answer names.
@@ -48,7 +49,15 @@
 	Hosts []fleet.Host
 	// Holders are, for each account, the hosts that have shares of its budget.
 	Holders map[id.Account][]Holder
-	Keep    time.Duration
+	// Shifts move callers between regions.
+	Shifts []Shift
+	Keep   time.Duration
+}
+
+// Shift sends a part of a region's callers to another region.
+type Shift struct {
+	From, To id.Region
+	Share    table.Milli
 }
 
 // Table answers look-ups. It is immutable after New and costs no allocation to
@@ -57,6 +66,7 @@
 	all      []*fleet.Host
 	regions  map[id.Region][]*fleet.Host
 	accounts map[id.Account]weighted
+	shifts   map[id.Region]Shift
 	keep     time.Duration
 }
 
@@ -68,7 +78,10 @@
 
 // New builds a table.
 func New(in Inputs) Table {
-	t := Table{regions: map[id.Region][]*fleet.Host{}, accounts: map[id.Account]weighted{}, keep: in.Keep}
+	t := Table{regions: map[id.Region][]*fleet.Host{}, accounts: map[id.Account]weighted{}, shifts: map[id.Region]Shift{}, keep: in.Keep}
+	for _, s := range in.Shifts {
+		t.shifts[s.From] = s
+	}
 	byID := map[id.Host]*fleet.Host{}
 	for i := range in.Hosts {
 		h := &in.Hosts[i]
@@ -117,11 +130,29 @@
 	if w, few := t.accounts[account]; few {
 		w.fill(&answer, seed)
 	}
+	region = t.Shifted(region, seed)
 	rotate(&answer, t.regions[region], seed)
 	rotate(&answer, t.all, seed)
 	return answer
 }
 
+// Shifted returns the region that a shift sends a caller to, or its own.
+func (t *Table) Shifted(region id.Region, seed uint64) id.Region {
+	if s, shifted := t.shifts[region]; shifted && part(seed) < s.Share {
+		return s.To
+	}
+	return region
+}
+
+// part returns a caller's place in the whole, which decides whether a shift takes
+// it. The seed is mixed, because its low bits choose hosts.
+func part(seed uint64) table.Milli {
+	seed ^= seed >> 33
+	seed *= 0xff51afd7ed558ccd
+	seed ^= seed >> 33
+	return table.Milli(seed % uint64(table.Whole))
+}
+
 // fill names the hosts beginning with the one that seed selects by weight.
 func (w weighted) fill(answer *Answer, seed uint64) {
 	total := uint64(w.sums[len(w.sums)-1])
--- a/pkg/state/table/table.go
+++ b/pkg/state/table/table.go
@@ -35,6 +35,8 @@
 	// HistoryPrefix is the kind of rows that hold earlier configurations.
 	HistoryPrefix Key = "history/"
 	ClaimPrefix   Key = "claim/"
+	// ShiftPrefix is the kind of rows that hold shifts of callers.
+	ShiftPrefix Key = "shift/"
 	// ReleasePrefix is the kind of rows that hold changes of release.
 	ReleasePrefix Key = "release/"
 	ConfigKey     Key = "config"
@@ -54,6 +56,9 @@
 // kept. Keys sort in the order of revisions.
 func HistoryKey(r Revision) Key { return HistoryPrefix + Key(fmt.Sprintf("%020d", uint64(r))) }
 
+// ShiftKey returns the key of the shift of a region's callers.
+func ShiftKey(from id.Region) Key { return ShiftPrefix + Key(from) }
+
 // ReleaseKey returns the key of a service's release row.
 func ReleaseKey(s id.Service) Key { return ReleasePrefix + Key(s) }
 
@@ -77,6 +82,7 @@
 	Grant   *key.Record    `json:"grant,omitempty"`
 	Claim   *Claim         `json:"claim,omitempty"`
 	Release *Release       `json:"release,omitempty"`
+	Shift   *Shift         `json:"shift,omitempty"`
 }
 
 // HostState tells where a host is in its life.
@@ -167,6 +173,29 @@
 	Reason string `json:"reason,omitempty"`
 }
 
+// ShiftState tells how a shift stands.
+type ShiftState string
+
+// States of a shift.
+const (
+	ShiftMoving   ShiftState = "moving"
+	ShiftFinished ShiftState = "finished"
+	ShiftUndoing  ShiftState = "undoing"
+	ShiftUndone   ShiftState = "undone"
+)
+
+// Shift moves callers of one region to another.
+type Shift struct {
+	From   id.Region `json:"from"`
+	To     id.Region `json:"to"`
+	Target Milli     `json:"target_milli"`
+	// Cap is the most that is moved in one interval.
+	Cap      Milli           `json:"cap_milli"`
+	Interval config.Duration `json:"interval"`
+	Moved    Milli           `json:"moved_milli"`
+	State    ShiftState      `json:"state"`
+}
+
 // ClaimState tells how far a claimed request got.
 type ClaimState string
 
--- a/pkg/state/timeline/timeline.go
+++ b/pkg/state/timeline/timeline.go
@@ -32,6 +32,7 @@
 	StoreBack        Kind = "store_back"
 	KeyedRefused     Kind = "keyed_refused"
 	KeyedServed      Kind = "keyed_served"
+	ShiftStepped     Kind = "shift_stepped"
 	ReleaseStepped   Kind = "release_stepped"
 	ReleaseRetreated Kind = "release_retreated"
 	UpstreamAvoided  Kind = "upstream_avoided"
