Give up silent connections to upstreams in time, within a retry budget

Cause: a kept connection that is dead without a sign held an idempotent request until its deadline. Change: an answer on a kept connection is waited for a quarter of the remaining time, 1 s at most; then the request goes again on a new connection, idle siblings are closed, and a budget (a fifth of the requests and a hundred) bounds what that adds. The relay that silences connections serves both tests.

--- /dev/null
+++ b/internal/daemon/silent_test.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"celerypin.example/celerypin/internal/faultnet"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// TestSilentConnectionsToUpstreams lets all open connections to the upstreams go
+// silent at once, and counts the requests that are not answered in time: reads go
+// again on new connections, swaps never use a kept one.
+func TestSilentConnectionsToUpstreams(t *testing.T) {
+	d := newDeployment(t, 1)
+	var relays []*faultnet.Relay
+	for _, c := range []struct {
+		worker  id.Upstream
+		service id.Service
+	}{{"reads-1", "reads"}, {"swaps-1", "swaps"}} {
+		relay, err := faultnet.New(d.workers[c.worker].Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer relay.Close()
+		relays = append(relays, relay)
+		d.list(fleet.Upstream{ID: c.worker, Service: c.service, Release: "v1", Region: "r0", Address: relay.Address(), Slots: 64, State: fleet.UpstreamLive})
+	}
+	d.eventually("requests to pass through the relays", func() bool {
+		d.request(0, http.MethodGet, "/read/x", nil, nil)
+		d.post(0, "/once/x", fmt.Sprint("warm-", relays[0].Accepted(), relays[1].Accepted()), "x")
+		return relays[0].Accepted() > 0 && relays[1].Accepted() > 0
+	})
+	d.burst(t, 20)
+	for _, relay := range relays {
+		relay.Silence()
+	}
+	if late := d.burst(t, 20); late != 0 {
+		t.Errorf("got %d of 40 requests late or unknown after all connections went silent, want none", late)
+	}
+}
+
+// burst sends n reads and n swaps at once, and returns how many were not served.
+func (d *deployment) burst(t *testing.T, n int) int {
+	t.Helper()
+	var mu sync.Mutex
+	late := 0
+	var work sync.WaitGroup
+	count := func(got answer) {
+		mu.Lock()
+		defer mu.Unlock()
+		if got.err != nil || got.StatusCode != http.StatusOK {
+			late++
+		}
+	}
+	before := d.ran()
+	for i := range n {
+		work.Go(func() { count(d.request(0, http.MethodGet, "/read/x", nil, nil)) })
+		work.Go(func() {
+			header := http.Header{"Request-Id": {fmt.Sprint("burst-", before, "-", i)}}
+			count(d.request(0, http.MethodPost, "/once/x", header, strings.NewReader("x")))
+		})
+	}
+	work.Wait()
+	return late
+}
--- a/internal/layers/layers.go
+++ b/internal/layers/layers.go
@@ -35,6 +35,7 @@
 	{"internal/logging/", Support},
 	{"internal/layers/", Support},
 	{"internal/golden/", Support},
+	{"internal/faultnet/", Support},
 }
 
 // Of returns the layer of a package, named by its path below the module.
--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -38,6 +38,8 @@
 	// release is what the request was given to, if its service is divided.
 	release         id.Release
 	chosen, divided bool
+	// newConnection keeps later attempts off kept connections, after a silent one.
+	newConnection bool
 	// sent tells that an upstream may have begun to run the request.
 	sent bool
 	ctx  context.Context
@@ -265,7 +267,7 @@
 // observe counts the outcome for the worker's release, unless the caller gave
 // up or the worker did not run the request.
 func (x *exchange) observe(worker *pick.Worker, start clock.Instant, response *http.Response, err error) {
-	if errors.Is(err, transport.ErrNotRun) || errors.Is(x.r.Context().Err(), context.Canceled) {
+	if errors.Is(err, transport.ErrNotRun) || errors.Is(err, transport.ErrSilent) || errors.Is(x.r.Context().Err(), context.Canceled) {
 		return
 	}
 	subject := release.Subject{Service: worker.Info.Service, Release: worker.Info.Release, Route: x.admission.Target.Route}
@@ -279,6 +281,9 @@
 		return x.ended(admit.ErrUpstreamsBusy), replayable
 	}
 	x.sent = true
+	if errors.Is(err, transport.ErrSilent) {
+		x.newConnection = true
+	}
 	again := replayable && x.admission.Target.Idempotent && x.ctx.Err() == nil
 	switch {
 	case errors.Is(err, transport.ErrForeign):
@@ -303,7 +308,7 @@
 	out := &transport.Request{
 		Method: x.r.Method, Target: x.r.URL.RequestURI(), Header: outgoingHeader(x.r.Header, x.clear),
 		Length: x.r.ContentLength, Account: x.admission.Account,
-		Idempotent: x.admission.Target.Idempotent, Remaining: x.until.Sub(x.server.Clock.Now()),
+		Idempotent: x.admission.Target.Idempotent, Remaining: x.until.Sub(x.server.Clock.Now()), NewConnection: x.newConnection,
 	}
 	if !x.admission.Target.Idempotent {
 		out.RequestID = x.ask.RequestID
--- a/internal/transport/host/mesh_test.go
+++ b/internal/transport/host/mesh_test.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"celerypin.example/celerypin/internal/faultnet"
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -88,88 +88,23 @@
 	})
 }
 
-// blackhole is a relay that can stop to pass data on connections that are open,
-// while new ones work, as if something between the ends had lost track of them.
-type blackhole struct {
-	listener net.Listener
-	target   string
-	mu       sync.Mutex
-	silent   map[net.Conn]bool
-	accepted int
-}
-
-func newBlackhole(t *testing.T, target string) *blackhole {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := &blackhole{listener: listener, target: target, silent: map[net.Conn]bool{}}
-	t.Cleanup(func() { listener.Close() })
-	go b.accept()
-	return b
-}
-
-func (b *blackhole) accept() {
-	for {
-		conn, err := b.listener.Accept()
-		if err != nil {
-			return
-		}
-		onward, err := net.Dial("tcp", b.target)
-		if err != nil {
-			conn.Close()
-			continue
-		}
-		b.mu.Lock()
-		b.accepted++
-		b.silent[conn] = false
-		b.mu.Unlock()
-		go b.pass(conn, onward, conn)
-		go b.pass(onward, conn, conn)
-	}
-}
-
-// pass copies data until the connection is silenced; it then reads and drops.
-func (b *blackhole) pass(to, from, name net.Conn) {
-	buffer := make([]byte, 4096)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			if err == io.EOF {
-				to.Close()
-			}
-			return
-		}
-		b.mu.Lock()
-		silent := b.silent[name]
-		b.mu.Unlock()
-		if !silent {
-			_, _ = to.Write(buffer[:n])
-		}
-	}
-}
-
-func (b *blackhole) silence() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for conn := range b.silent {
-		b.silent[conn] = true
-	}
-}
-
 // TestSilentConnectionIsReplaced silences an open connection for good and checks
 // that messages pass again on a new one.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	a, b := newNode(t, "a", "secret"), newNode(t, "b", "secret")
-	relay := newBlackhole(t, b.address())
-	a.mesh.SetAddress("b", relay.listener.Addr().String())
+	relay, err := faultnet.New(b.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	a.mesh.SetAddress("b", relay.Address())
 	received := func() int { n, _ := b.events.counts(); return n }
 	exchange(t, a, b, func() bool { return received() > 3 })
-	relay.silence()
+	relay.Silence()
 	before := received()
 	exchange(t, a, b, func() bool { return received() > before+10 })
-	if relay.accepted < 2 {
-		t.Errorf("got %d connections, want a new one", relay.accepted)
+	if got := relay.Accepted(); got < 2 {
+		t.Errorf("got %d connections, want a new one", got)
 	}
 }
 
--- a/internal/transport/upstream/forward.go
+++ b/internal/transport/upstream/forward.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 	ErrFailed = errors.New("the exchange with the upstream failed")
 	// ErrForeign means that the answer belongs to another exchange.
 	ErrForeign = errors.New("the answer belongs to another exchange")
+	// ErrSilent means that a kept connection gave no sign of life; it may have
+	// been dead. The request should go again on a new connection.
+	ErrSilent = errors.New("the kept connection gave no answer")
 )
 
 // Limits of connections to upstreams.
@@ -50,6 +54,21 @@
 	Idempotent bool
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
+	// NewConnection keeps an idempotent request off kept connections.
+	NewConnection bool
+}
+
+// A kept connection that has not answered for a part of the remaining time,
+// within bounds, counts as silent.
+const (
+	silentPart  = 4
+	silentLeast = 50 * time.Millisecond
+	silentMost  = time.Second
+)
+
+// silentAfter returns how long to wait for an answer on a kept connection.
+func silentAfter(remaining time.Duration) time.Duration {
+	return min(max(remaining/silentPart, silentLeast), silentMost)
 }
 
 // Forwarder carries exchanges with upstreams.
@@ -64,6 +83,8 @@
 	// exchanges numbers the exchanges of this process.
 	exchanges atomic.Uint64
 	prefix    string
+	// sent counts requests on kept connections, and retried those given up as silent.
+	sent, retried atomic.Int64
 }
 
 // NewForwarder returns a forwarder; prefix makes its exchange identifiers unique in the fleet.
@@ -91,17 +112,79 @@
 func (f *Forwarder) Do(ctx context.Context, w *pick.Worker, r *Request) (*http.Response, error) {
 	out := f.build(ctx, w, r)
 	exchange := out.Header.Get(upstream.ExchangeHeader)
-	transport := f.kept
-	if !r.Idempotent {
-		transport = f.fresh
+	roundTrip := f.roundTripKept
+	if !r.Idempotent || r.NewConnection {
+		roundTrip = f.roundTripFresh
+	}
+	response, err := roundTrip(out, r)
+	if errors.Is(err, ErrSilent) {
+		f.kept.CloseIdleConnections()
+		return nil, err
 	}
-	response, err := transport.RoundTrip(out)
 	if err != nil {
 		return nil, f.failed(w, err)
 	}
 	return f.judge(w, response, exchange)
 }
 
+func (f *Forwarder) roundTripFresh(out *http.Request, _ *Request) (*http.Response, error) {
+	return f.fresh.RoundTrip(out)
+}
+
+// roundTripKept sends a request on a kept connection if there is one. If that
+// connection gives no answer in time, and the retry budget allows it, the error
+// matches ErrSilent; its older siblings are as doubtful.
+func (f *Forwarder) roundTripKept(out *http.Request, r *Request) (*http.Response, error) {
+	f.sent.Add(1)
+	var reused atomic.Bool
+	ctx, cancel := context.WithCancelCause(out.Context())
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
+	timer := time.AfterFunc(silentAfter(r.Remaining), func() {
+		if reused.Load() && f.mayRetry() {
+			cancel(ErrSilent)
+		}
+	})
+	response, err := f.kept.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	timer.Stop()
+	if err != nil {
+		defer cancel(nil)
+		if errors.Is(context.Cause(ctx), ErrSilent) {
+			return nil, ErrSilent
+		}
+		return nil, err
+	}
+	response.Body = &cancelingBody{response.Body, cancel}
+	return response, nil
+}
+
+// cancelingBody ends the context of an exchange together with its answer.
+type cancelingBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close ends the exchange.
+func (b *cancelingBody) Close() error {
+	defer b.cancel(nil)
+	return b.ReadCloser.Close()
+}
+
+// The retry budget bounds what silent connections, or slow upstreams that look
+// like them, may add to the load: a part of the requests, and a few more.
+const (
+	retryPart    = 5
+	retryReserve = 100
+)
+
+func (f *Forwarder) mayRetry() bool {
+	retries := f.retried.Add(1)
+	if retries*retryPart <= f.sent.Load()+retryReserve*retryPart {
+		return true
+	}
+	f.retried.Add(-1)
+	return false
+}
+
 func (f *Forwarder) build(ctx context.Context, w *pick.Worker, r *Request) *http.Request {
 	target, err := url.ParseRequestURI(r.Target)
 	if err != nil {
