--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -14,7 +14,7 @@
 // news from one source alone, and checks that every request is served and that
 // after a few seconds the leaving one gets none.
 func TestPromiseLeavingUpstreamGetsNoNewWork(t *testing.T) {
-	const fewSeconds = 4 * time.Second
+	const leaveLimit = 4 * time.Second
 	for _, c := range []struct {
 		name  string
 		leave func(*deployment, settings.Worker)
@@ -36,7 +36,7 @@
 			w := d.workers[s.ID]
 			d.eventually("the upstream to get work", func() bool { return d.reads(t, 10) == 10 && len(w.Journal()) > 0 })
 			c.leave(d, s)
-			for until := time.Now().Add(fewSeconds); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+			for until := time.Now().Add(leaveLimit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 				if got := d.reads(t, 10); got != 10 {
 					t.Fatalf("got %d of 10 requests served while an upstream leaves, want all", got)
 				}
@@ -44,7 +44,7 @@
 			before := len(w.Journal())
 			d.reads(t, 100)
 			if got := len(w.Journal()) - before; got != 0 {
-				t.Errorf("got %d requests at the upstream %v after it began to leave, want none", got, fewSeconds)
+				t.Errorf("got %d requests at the upstream %v after it began to leave, want none", got, leaveLimit)
 			}
 		})
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -127,7 +127,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if knobs.Mode == platform.ModeOut {
-			write(w, http.StatusServiceUnavailable, platform.Error{Message: "out of service"})
+			route.WriteJSON(w, http.StatusServiceUnavailable, platform.Error{Message: "out of service"})
 			return
 		}
 		s.clock.Sleep(r.Context(), time.Duration(knobs.DelayMS+knobs.HostDelayMS[host])*time.Millisecond)
@@ -160,10 +160,10 @@
 	}
 	var conflict *table.Conflict
 	if errors.As(err, &conflict) {
-		write(w, http.StatusConflict, platform.RowsAnswer{Rows: conflict.Rows})
+		route.WriteJSON(w, http.StatusConflict, platform.RowsAnswer{Rows: conflict.Rows})
 		return
 	}
-	write(w, http.StatusOK, platform.TxnAnswer{Revision: revision})
+	route.WriteJSON(w, http.StatusOK, platform.TxnAnswer{Revision: revision})
 }
 
 func (s *Server) loseAnswer() bool {
@@ -182,17 +182,17 @@
 		return
 	}
 	rows, _ := s.memory.Rows(r.Context(), request.Keys)
-	write(w, http.StatusOK, platform.RowsAnswer{Rows: rows})
+	route.WriteJSON(w, http.StatusOK, platform.RowsAnswer{Rows: rows})
 }
 
 func (s *Server) changesSince(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		write(w, http.StatusBadRequest, platform.Error{Message: "after must be a revision"})
+		route.WriteJSON(w, http.StatusBadRequest, platform.Error{Message: "after must be a revision"})
 		return
 	}
 	changes, _ := s.memory.Changes(r.Context(), table.Revision(after))
-	write(w, http.StatusOK, changes)
+	route.WriteJSON(w, http.StatusOK, changes)
 }
 
 func (s *Server) tell(w http.ResponseWriter, r *http.Request) {
@@ -203,11 +203,11 @@
 	s.mu.Lock()
 	s.changes = append(s.changes, listChange{at: s.clock.Now(), request: request})
 	s.mu.Unlock()
-	write(w, http.StatusOK, struct{}{})
+	route.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
 func (s *Server) upstreams(w http.ResponseWriter, _ *http.Request) {
-	write(w, http.StatusOK, platform.UpstreamsAnswer{Upstreams: s.laggingList()})
+	route.WriteJSON(w, http.StatusOK, platform.UpstreamsAnswer{Upstreams: s.laggingList()})
 }
 
 // laggingList returns the list of upstreams as it was before the lag.
@@ -233,7 +233,7 @@
 	o, ok := s.objects[r.URL.Path]
 	s.mu.Unlock()
 	if !ok {
-		write(w, http.StatusNotFound, platform.Error{Message: "no such object"})
+		route.WriteJSON(w, http.StatusNotFound, platform.Error{Message: "no such object"})
 		return
 	}
 	w.Header().Set("ETag", o.etag)
@@ -243,21 +243,21 @@
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
 	if err != nil {
-		write(w, http.StatusBadRequest, platform.Error{Message: err.Error()})
+		route.WriteJSON(w, http.StatusBadRequest, platform.Error{Message: err.Error()})
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, exists := s.objects[r.URL.Path]
 	if !preconditionHolds(r, old, exists) {
-		write(w, http.StatusPreconditionFailed, platform.RowsAnswer{})
+		route.WriteJSON(w, http.StatusPreconditionFailed, platform.RowsAnswer{})
 		return
 	}
 	sum := sha256.Sum256(data)
 	o := object{etag: `"` + hex.EncodeToString(sum[:8]) + `"`, data: data}
 	s.objects[r.URL.Path] = o
 	w.Header().Set("ETag", o.etag)
-	write(w, http.StatusOK, struct{}{})
+	route.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
 func preconditionHolds(r *http.Request, old object, exists bool) bool {
@@ -270,7 +270,7 @@
 
 func (s *Server) getKnobs(w http.ResponseWriter, _ *http.Request) {
 	knobs, _ := s.current()
-	write(w, http.StatusOK, knobs)
+	route.WriteJSON(w, http.StatusOK, knobs)
 }
 
 func (s *Server) putKnobs(w http.ResponseWriter, r *http.Request) {
@@ -281,15 +281,15 @@
 	switch knobs.Mode {
 	case platform.ModeUp, platform.ModeOut, platform.ModeSilent:
 		s.SetKnobs(knobs)
-		write(w, http.StatusOK, knobs)
+		route.WriteJSON(w, http.StatusOK, knobs)
 	default:
-		write(w, http.StatusBadRequest, platform.Error{Message: "mode: want up, out or silent"})
+		route.WriteJSON(w, http.StatusBadRequest, platform.Error{Message: "mode: want up, out or silent"})
 	}
 }
 
 func (s *Server) counts(w http.ResponseWriter, _ *http.Request) {
 	reads, writes := s.memory.Counts()
-	write(w, http.StatusOK, platform.Counts{Reads: reads, Writes: writes})
+	route.WriteJSON(w, http.StatusOK, platform.Counts{Reads: reads, Writes: writes})
 }
 
 func read[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
@@ -299,18 +299,8 @@
 		v, err = codec.JSON[T]{}.Decode(data)
 	}
 	if err != nil {
-		write(w, http.StatusBadRequest, platform.Error{Message: err.Error()})
+		route.WriteJSON(w, http.StatusBadRequest, platform.Error{Message: err.Error()})
 		return v, false
 	}
 	return v, true
 }
-
-func write(w http.ResponseWriter, status int, v any) {
-	data, err := codec.JSON[any]{}.Encode(v)
-	if err != nil {
-		status, data = http.StatusInternalServerError, []byte("{}")
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(data)
-}
--- a/internal/standin/upstream/worker.go
+++ b/internal/standin/upstream/worker.go
@@ -161,7 +161,7 @@
 	if knobs.Mislead {
 		report.Busy, report.Draining = 0, false
 	}
-	write(out, http.StatusOK, report)
+	route.WriteJSON(out, http.StatusOK, report)
 }
 
 func (w *Worker) run(out http.ResponseWriter, r *http.Request) {
@@ -215,15 +215,15 @@
 	case knobs.SwapAnswers:
 		out.Header().Set(upstream.ExchangeHeader, "another")
 		answer.Mark = "another"
-		write(out, http.StatusOK, answer)
+		route.WriteJSON(out, http.StatusOK, answer)
 	case knobs.CutAnswers:
 		_, _ = out.Write([]byte(`{"upstream":`))
 		_ = http.NewResponseController(out).Flush()
 		panic(http.ErrAbortHandler)
 	case rand.IntN(100) < knobs.FailPercent:
-		write(out, http.StatusInternalServerError, answer)
+		route.WriteJSON(out, http.StatusInternalServerError, answer)
 	default:
-		write(out, http.StatusOK, answer)
+		route.WriteJSON(out, http.StatusOK, answer)
 	}
 }
 
@@ -261,7 +261,7 @@
 		var knobs Knobs
 		if knobs, err = (codec.JSON[Knobs]{}).Decode(data); err == nil {
 			w.SetKnobs(knobs)
-			write(out, http.StatusOK, knobs)
+			route.WriteJSON(out, http.StatusOK, knobs)
 			return
 		}
 	}
@@ -269,15 +269,5 @@
 }
 
 func (w *Worker) getJournal(out http.ResponseWriter, _ *http.Request) {
-	write(out, http.StatusOK, w.Journal())
-}
-
-func write(out http.ResponseWriter, status int, v any) {
-	data, err := codec.JSON[any]{}.Encode(v)
-	if err != nil {
-		status, data = http.StatusInternalServerError, []byte("{}")
-	}
-	out.Header().Set("Content-Type", "application/json")
-	out.WriteHeader(status)
-	_, _ = out.Write(data)
+	route.WriteJSON(out, http.StatusOK, w.Journal())
 }
--- /dev/null
+++ b/internal/transport/route/json.go
@@ -0,0 +1,18 @@
+package route
+
+import (
+	"net/http"
+
+	"celerypin.example/celerypin/internal/protocol/codec"
+)
+
+// WriteJSON writes v as the body of an answer.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	data, err := codec.JSON[any]{}.Encode(v)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
--- a/pkg/coordination/agent/control.go
+++ b/pkg/coordination/agent/control.go
@@ -121,11 +121,9 @@
 	if _, exists := a.replica.Row(table.ControlKey); exists {
 		patience += a.timing.Lease
 	}
-	return now.Sub(max(a.control.control.since, a.control.steadyStart())) > patience
+	return now.Sub(a.control.control.since) > patience
 }
 
-func (c *controlState) steadyStart() clock.Instant { return min(c.steady, c.control.since) }
-
 // controlRound renews the control lease together with the moves that are due.
 func (a *Agent) controlRound(now clock.Instant) {
 	c := &a.control
--- /dev/null
+++ b/pkg/coordination/agent/requests_test.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/budget"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// spend tries to take one request at a host, and records it if admitted.
+func (f *simFleet) spend(h *simHost, account id.Account) budget.Result {
+	now := f.local(h)
+	if !f.mayServe(h) {
+		return budget.Lapsed
+	}
+	result := h.agent.View().Pool.Spend(account, unit.Token, now)
+	if result == budget.Granted {
+		f.admitted[account] = append(f.admitted[account], admission{f.now, h.id})
+	}
+	return result
+}
+
+func (f *simFleet) mayServe(h *simHost) bool {
+	return f.ungated || h.agent.View().Keyed.Valid(f.local(h))
+}
+
+// request sends one request to a host; done is told what became of it.
+func (f *simFleet) request(h *simHost, account id.Account, patience time.Duration, done func(admitted bool)) {
+	if h.dead || h.frozen {
+		done(false)
+		return
+	}
+	if f.spend(h, account) == budget.Granted {
+		done(true)
+		return
+	}
+	f.await(h, &simRequest{account: account, until: f.now.Add(patience), done: done})
+}
+
+// await parks a request until a loan has been decided.
+func (f *simFleet) await(h *simHost, r *simRequest) {
+	ch, out := h.agent.Await(f.local(h), r.account)
+	if ch == nil {
+		f.carryOut(h, out)
+		r.done(false)
+		return
+	}
+	r.ch = ch
+	h.waiting = append(h.waiting, r)
+	life := h.life
+	f.at(r.until.Sub(f.now), func() {
+		f.onHost(h, life, func() { f.giveUp(h, r) })
+	})
+	f.carryOut(h, out)
+}
+
+func (f *simFleet) giveUp(h *simHost, r *simRequest) {
+	for i, other := range h.waiting {
+		if other == r {
+			h.waiting = append(h.waiting[:i:i], h.waiting[i+1:]...)
+			h.agent.Resume(r.account)
+			r.done(false)
+			return
+		}
+	}
+}
+
+// wakeWaiting retries the requests whose loans have been decided.
+func (f *simFleet) wakeWaiting(h *simHost) {
+	var ready, rest []*simRequest
+	for _, r := range h.waiting {
+		select {
+		case <-r.ch:
+			ready = append(ready, r)
+		default:
+			rest = append(rest, r)
+		}
+	}
+	h.waiting = rest
+	for _, r := range ready {
+		h.agent.Resume(r.account)
+		now := f.local(h)
+		if !f.mayServe(h) || f.now >= r.until {
+			r.done(false)
+			continue
+		}
+		if h.agent.View().Pool.Retry(r.account, unit.Token, now) == budget.Granted {
+			f.admitted[r.account] = append(f.admitted[r.account], admission{f.now, h.id})
+			r.done(true)
+			continue
+		}
+		f.await(h, r)
+	}
+}
+
+// firstExcess returns the index of the first admission that one perfect token
+// bucket would not have granted, or -1. The bucket starts full.
+func firstExcess(admitted []admission, rate, burst int64) int {
+	const scale = int64(time.Second)
+	tokens := burst * scale
+	var last clock.Instant
+	for i, a := range admitted {
+		at := a.at
+		if i > 0 {
+			elapsed := min(int64(at-last), burst*scale/rate+1)
+			tokens = min(tokens+elapsed*rate, burst*scale)
+		}
+		last = at
+		if tokens < scale {
+			return i
+		}
+		tokens -= scale
+	}
+	return -1
+}
--- /dev/null
+++ b/pkg/state/table/budget.go
@@ -0,0 +1,31 @@
+package table
+
+import (
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+// Share is a part of a budget: an amount per second and an amount at once.
+type Share struct {
+	Rate  unit.Tokens `json:"rate"`
+	Burst unit.Tokens `json:"burst"`
+}
+
+// Grant is the part of a budget that one host incarnation has.
+//
+// Share is what the holder should use; Held is the most it may still be using.
+// Held drops to Share only when the holder has confirmed the lower Share.
+type Grant struct {
+	Host        id.Host        `json:"host"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	Share       Share          `json:"share"`
+	Held        Share          `json:"held"`
+}
+
+// Budget is the division of one account's limits. The sum of Held never
+// exceeds Total.
+type Budget struct {
+	Account id.Account `json:"account"`
+	Total   Share      `json:"total"`
+	Grants  []Grant    `json:"grants,omitempty"`
+}
--- /dev/null
+++ b/pkg/state/table/host.go
@@ -0,0 +1,36 @@
+package table
+
+import (
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// HostState tells where a host is in its life.
+type HostState string
+
+// States of a host.
+const (
+	HostServing HostState = "serving"
+	HostLeaving HostState = "leaving"
+	HostEnded   HostState = "ended"
+)
+
+// Host is the lease of an entry host on its slot.
+type Host struct {
+	ID            id.Host          `json:"id"`
+	Incarnation   id.Incarnation   `json:"incarnation"`
+	Region        id.Region        `json:"region"`
+	FailureDomain id.FailureDomain `json:"failure_domain"`
+	CallerAddress string           `json:"caller_address"`
+	HostAddress   string           `json:"host_address"`
+	State         HostState        `json:"state"`
+	Renewals      uint64           `json:"renewals"`
+}
+
+// Control is the lease for control work. Its row's revision is the fencing
+// token that every write of the holder names in its conditions.
+type Control struct {
+	Holder      id.Host        `json:"holder"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	Renewals    uint64         `json:"renewals"`
+	Term        uint64         `json:"term"`
+}
--- /dev/null
+++ b/pkg/state/table/txn.go
@@ -0,0 +1,44 @@
+package table
+
+import (
+	"strings"
+
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// Condition requires that a row has a revision; zero requires its absence.
+type Condition struct {
+	Key      Key      `json:"key"`
+	Revision Revision `json:"revision"`
+}
+
+// Txn writes rows if all conditions hold, or nothing.
+type Txn struct {
+	Operation  id.Operation `json:"operation"`
+	Conditions []Condition  `json:"conditions,omitempty"`
+	Puts       []Row        `json:"puts,omitempty"`
+	Deletes    []Key        `json:"deletes,omitempty"`
+}
+
+// Changes are the rows that changed in (After, Revision], without claims.
+type Changes struct {
+	After    Revision `json:"after"`
+	Revision Revision `json:"revision"`
+	Rows     []Row    `json:"rows,omitempty"`
+}
+
+// Conflict is the error of a transaction whose conditions did not hold. It
+// matches ErrConflict and carries the current rows that the conditions named.
+type Conflict struct{ Rows []Row }
+
+// Error names the rows.
+func (c *Conflict) Error() string {
+	var keys []string
+	for _, row := range c.Rows {
+		keys = append(keys, string(row.Key))
+	}
+	return ErrConflict.Error() + ": " + strings.Join(keys, ", ")
+}
+
+// Is makes a Conflict match ErrConflict.
+func (c *Conflict) Is(target error) bool { return target == ErrConflict }
