Make wrong arguments exit with 2; hold the commands' pages to their help

Cause: the library prints its whole help and exits with 1 for a wrong flag; a command without its subcommand printed help and exited with 0. Seen failing: TestExitStatuses. A host without a lease no longer asks for loans that it could not spend.

--- a/cmd/celerypin/cmds/cmds.go
+++ b/cmd/celerypin/cmds/cmds.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 
 	"github.com/samber/oops"
 	"github.com/urfave/cli/v3"
@@ -63,7 +65,7 @@
 }
 
 func newApp(out, errOut io.Writer) *cli.Command {
-	return &cli.Command{
+	app := &cli.Command{
 		Name:                  "celerypin",
 		Usage:                 "steer callers to healthy upstreams within the operator's targets",
 		Writer:                out,
@@ -75,6 +77,34 @@
 			lookupCommand(), configCommand(), keyCommand(), hostsCommand(), versionCommand(), shiftCommand(), timelineCommand(),
 		},
 	}
+	markUsageErrors(app)
+	return app
+}
+
+// markUsageErrors makes wrong flags and commands match ErrUsage, in all commands.
+func markUsageErrors(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	if len(c.Commands) > 0 && c.Action == nil {
+		c.Action = needCommand
+	}
+	for _, sub := range c.Commands {
+		markUsageErrors(sub)
+	}
+}
+
+// needCommand is the action of a command that only has others below it.
+func needCommand(_ context.Context, c *cli.Command) error {
+	var known []string
+	for _, sub := range c.VisibleCommands() {
+		known = append(known, sub.Name)
+	}
+	got := "none"
+	if c.Args().Present() {
+		got = strconv.Quote(c.Args().First())
+	}
+	return fmt.Errorf("%w: want a command of %s, got %s", ErrUsage, strings.Join(known, ", "), got)
 }
 
 // printError prints one line for each fault, with a hint if there is one.
--- /dev/null
+++ b/cmd/celerypin/cmds/cmds_test.go
@@ -0,0 +1,78 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// run runs a command line and returns its exit status and what it printed.
+func run(args ...string) (status int, out, errOut string) {
+	var o, e bytes.Buffer
+	status = Run(context.Background(), append([]string{"celerypin"}, args...), &o, &e)
+	return status, o.String(), e.String()
+}
+
+// TestPagesMatchHelp holds that each command has a page, which shows its help.
+func TestPagesMatchHelp(t *testing.T) {
+	for _, command := range newApp(nil, nil).Commands {
+		t.Run(command.Name, func(t *testing.T) {
+			page, err := os.ReadFile(filepath.Join("..", "..", "..", "Documentation", "cli", command.Name+".md"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			lines := [][]string{{command.Name}}
+			for _, sub := range command.Commands {
+				lines = append(lines, []string{command.Name, sub.Name})
+			}
+			for _, line := range lines {
+				_, help, _ := run(append(line, "--help")...)
+				if help = strings.TrimSpace(help); help == "" || !strings.Contains(string(page), help) {
+					t.Errorf("got a page without the help of %v, want it with:\n%s", line, help)
+				}
+			}
+		})
+	}
+}
+
+func TestExitStatuses(t *testing.T) {
+	example := filepath.Join("..", "..", "..", "examples", "pushpa", "config.json")
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"host": 1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name   string
+		args   []string
+		status int
+		want   string
+	}{
+		{"valid configuration", []string{"config", "check", example}, ExitOK, "valid: 8 accounts"},
+		{"settings with faults", []string{"serve", "--config", bad}, ExitUsage, "bad.json: region: want a value"},
+		{"missing settings", []string{"serve", "--config", "none"}, ExitUsage, "no such file"},
+		{"no argument", []string{"config", "check"}, ExitUsage, "want one FILE"},
+		{"wrong output", []string{"hosts", "list", "--output", "xml"}, ExitUsage, "want one of table, json"},
+		{"no host", []string{"hosts", "list", "--host", "127.0.0.1:1"}, ExitFailed, "no host answered"},
+		{"unknown command", []string{"nosuch"}, ExitUsage, "want a command of"},
+		{"unknown command below another", []string{"config", "nosuch"}, ExitUsage, "want a command of"},
+		{"unknown flag", []string{"config", "check", "--weight", "3"}, ExitUsage, "weight"},
+		{"demo without end", []string{"demo", "--for", "1000h"}, ExitUsage, "at most"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			status, out, errOut := run(c.args...)
+			if status != c.status || !strings.Contains(out+errOut, c.want) {
+				t.Errorf("got status %d, %q, want %d with %q", status, out+errOut, c.status, c.want)
+			}
+		})
+	}
+}
+
+func TestDifference(t *testing.T) {
+	got := strings.Join(difference([]string{"a", "b", "c"}, []string{"a", "x", "c", "d"}), " ")
+	if want := "- b + x + d"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/pkg/coordination/agent/agent.go
+++ b/pkg/coordination/agent/agent.go
@@ -93,8 +93,8 @@
 // its View, which the Agent updates.
 //
 // A host goes through these states: without rows (it serves nothing keyed),
-// with rows but without a lease (it serves on loans only), with a lease (it
-// spends its shares), leaving (look-ups no longer name it), released (it spends
+// with rows but without a lease (it spends nothing), with a lease (it spends its
+// shares and loans), leaving (look-ups no longer name it), released (it spends
 // no more, and its shares are free for others). An agent whose slot was taken
 // by a higher incarnation is replaced, and stays so.
 type Agent struct {
--- a/pkg/coordination/agent/borrow.go
+++ b/pkg/coordination/agent/borrow.go
@@ -118,7 +118,7 @@
 
 // borrowAhead asks for loans for the accounts that are about to run dry.
 func (a *Agent) borrowAhead(now clock.Instant) {
-	if !a.view.Keyed.Valid(now) || a.lease.stopped != 0 {
+	if !a.mayBorrow(now) {
 		return
 	}
 	for _, account := range slices.Sorted(slices.Values(a.view.Pool.Keys())) {
@@ -126,6 +126,11 @@
 	}
 }
 
+// mayBorrow tells whether this host could spend a loan.
+func (a *Agent) mayBorrow(now clock.Instant) bool {
+	return a.view.Keyed.Valid(now) && a.shares.Valid(now) && a.lease.stopped == 0
+}
+
 func (a *Agent) borrowFor(now clock.Instant, account id.Account) {
 	if open, ok := a.borrow.open[account]; ok {
 		if now.Sub(open.sent) < a.timing.CallTimeout/2 {
@@ -136,9 +141,6 @@
 	demand := a.demandOf(account)
 	waiting := unit.Whole(int64(a.borrow.waiting[account]))
 	level := a.view.Pool.Bucket(account).Level(now)
-	if !a.shares.Valid(now) {
-		level = 0
-	}
 	if waiting == 0 && level >= reserveOf(demand) {
 		return
 	}
@@ -260,7 +262,7 @@
 // request then tries again, and calls Resume in any case. The channel is nil
 // if no host is known to have anything to spare.
 func (a *Agent) Await(now clock.Instant, account id.Account) (<-chan struct{}, Output) {
-	if a.view.Pool.Bucket(account) == nil || !a.view.Keyed.Valid(now) {
+	if a.view.Pool.Bucket(account) == nil || !a.mayBorrow(now) {
 		return nil, a.take()
 	}
 	a.borrow.waiting[account]++
