--- a/cmd/celerypin/cmds/config.go
+++ b/cmd/celerypin/cmds/config.go
@@ -163,7 +163,7 @@
 	if err != nil || !missing {
 		return err
 	}
-	return exitWith(ExitPartial, fmt.Errorf("accepted, but not in force on all hosts yet"))
+	return exitWith(ExitPartial, fmt.Errorf("accepted, but not in force on all hosts yet, or not recorded yet"))
 }
 
 func names(hosts []id.Host) string {
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -54,7 +54,7 @@
 		Gate:   &admit.Gate{Config: rcu.New(config.Compile(testConfig)), Ring: rcu.New(ring), Keyed: lease, Pool: pool},
 		Lookup: rcu.New(lookup.New(lookup.Inputs{Hosts: []fleet.Host{{ID: "host", Region: "r0", Address: "127.0.0.1:1"}}, Keep: time.Second})),
 		Hasher: hasher, Picker: picker, Recorder: release.NewRecorder(splits), Claims: claim.New("host", 1, table.NewMemory(), c),
-		Forwarder: upstream.NewForwarder("bench-", c), Clock: c, Log: logging.Discard(), Metrics: metrics.NewRegistry(),
+		Forwarder: upstream.NewForwarder("bench", 1, c), Clock: c, Log: logging.Discard(), Metrics: metrics.NewRegistry(),
 	})
 	router := bunrouter.New()
 	server.Register(router)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,7 @@
 	h.runner = newRunner(a, h.clock, h.platform, platformTimeout, log.Part("agent"))
 	h.mesh = host.New(identity.Host, secret, h.runner, log.Part("mesh"), h.clock, h.metrics)
 	h.claims = claim.New(identity.Host, identity.Incarnation, h.platform, h.clock)
-	h.forwarder = upstream.NewForwarder(string(identity.Host)+"-"+identity.Incarnation.String()+"-", h.clock)
+	h.forwarder = upstream.NewForwarder(identity.Host, identity.Incarnation, h.clock)
 	view := a.View()
 	h.picker = pick.New(view.Splits)
 	h.callers = caller.New(caller.Parts{
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -76,6 +76,8 @@
 	Slots         int              `json:"slots" validate:"gt=0,lte=10000"`
 	// ServiceTime is how long a request takes.
 	ServiceTime config.Duration `json:"service_time,omitempty" validate:"gte=0"`
+	// HostDelayMS is the way to and from single entry hosts, in milliseconds.
+	HostDelayMS map[id.Host]int `json:"host_delay_ms,omitempty"`
 	// ColdStart is for how long after its start a request takes ten times as long.
 	ColdStart config.Duration `json:"cold_start,omitempty" validate:"gte=0"`
 }
--- a/internal/protocol/upstream/upstream.go
+++ b/internal/protocol/upstream/upstream.go
@@ -9,6 +9,8 @@
 	// ExchangeHeader carries an identifier of the single exchange; an upstream
 	// that knows it returns it, so that a foreign answer is noticed.
 	ExchangeHeader = "Celerypin-Exchange"
+	// HostHeader names the entry host that sent the request.
+	HostHeader = "Celerypin-Host"
 	// AccountHeader carries the authenticated client account.
 	AccountHeader = "Celerypin-Account"
 	// DeadlineHeader carries the remaining time of the request, in milliseconds.
--- a/internal/standin/upstream/worker.go
+++ b/internal/standin/upstream/worker.go
@@ -202,6 +202,10 @@
 	if err != nil || !w.work(r.Context(), knobs) {
 		return
 	}
+	way := w.settings.HostDelayMS[id.Host(r.Header.Get(upstream.HostHeader))]
+	if !w.clock.Sleep(r.Context(), time.Duration(way)*time.Millisecond) {
+		return
+	}
 	answer := Answer{
 		Upstream: w.settings.ID, Mark: execution.Mark, Request: execution.Request,
 		Bytes: size, SHA256: hex.EncodeToString(hash.Sum(nil)),
--- a/internal/transport/caller/header.go
+++ b/internal/transport/caller/header.go
@@ -20,7 +20,7 @@
 // ownHeaders are set by the system and are not taken from callers.
 var ownHeaders = []string{
 	caller.KeyHeader, caller.RequestIDHeader, caller.DeadlineHeader,
-	upstream.ExchangeHeader, upstream.AccountHeader, upstream.DeadlineHeader, upstream.RequestIDHeader,
+	upstream.ExchangeHeader, upstream.HostHeader, upstream.AccountHeader, upstream.DeadlineHeader, upstream.RequestIDHeader,
 }
 
 // outgoingHeader returns the headers that an upstream may see. Any header that
--- a/internal/transport/upstream/forward.go
+++ b/internal/transport/upstream/forward.go
@@ -83,12 +83,13 @@
 	// exchanges numbers the exchanges of this process.
 	exchanges atomic.Uint64
 	prefix    string
+	host      id.Host
 	// sent counts requests on kept connections, and retried those given up as silent.
 	sent, retried atomic.Int64
 }
 
-// NewForwarder returns a forwarder; prefix makes its exchange identifiers unique in the fleet.
-func NewForwarder(prefix string, c clock.Clock) *Forwarder {
+// NewForwarder returns the forwarder of one incarnation of a host.
+func NewForwarder(host id.Host, inc id.Incarnation, c clock.Clock) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleLimit}
 	transport := func() *http.Transport {
 		return &http.Transport{
@@ -96,7 +97,7 @@
 			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderLen,
 		}
 	}
-	f := &Forwarder{kept: transport(), fresh: transport(), clock: c, prefix: prefix}
+	f := &Forwarder{kept: transport(), fresh: transport(), clock: c, host: host, prefix: string(host) + "-" + inc.String() + "-"}
 	f.fresh.DisableKeepAlives = true
 	return f
 }
@@ -196,6 +197,7 @@
 		Body: body(r), ContentLength: r.Length, ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	out.Header.Set(upstream.ExchangeHeader, f.prefix+strconv.FormatUint(f.exchanges.Add(1), 36))
+	out.Header.Set(upstream.HostHeader, string(f.host))
 	out.Header.Set(upstream.DeadlineHeader, strconv.FormatInt(max(r.Remaining.Milliseconds(), 1), 10))
 	if r.Account != "" {
 		out.Header.Set(upstream.AccountHeader, string(r.Account))
