--- a/pkg/coordination/agent/control.go
+++ b/pkg/coordination/agent/control.go
@@ -248,15 +248,16 @@
 	return out
 }
 
-// standings tells what is known of every member and one budget.
+// standings tells what is known of every member and one budget. A leaving host
+// stays eligible, because callers still come by look-up answers that they keep.
 func (a *Agent) standings(now clock.Instant, account id.Account, revision table.Revision) []budget.Standing[unit.Tokens] {
 	var out []budget.Standing[unit.Tokens]
 	for _, row := range a.replica.Rows(table.HostPrefix) {
 		h := row.Host
 		level := a.levelOf(now, h.ID, account)
-		eligible := h.State == table.HostServing && a.tracker.Alive(h.ID, now)
+		eligible := h.State != table.HostEnded && a.tracker.Alive(h.ID, now)
 		if p := a.peers[h.ID]; p != nil {
-			eligible = eligible && p.incarnation == h.Incarnation && !p.leaving
+			eligible = eligible && p.incarnation == h.Incarnation
 		}
 		out = append(out, budget.Standing[unit.Tokens]{
 			Host: h.ID, Incarnation: h.Incarnation, Region: h.Region, Demand: level.Demand,
--- a/pkg/coordination/agent/scenario_test.go
+++ b/pkg/coordination/agent/scenario_test.go
@@ -188,3 +188,26 @@
 		t.Errorf("got %d reads in ten seconds, want at most %d", got, most)
 	}
 }
+
+// TestLeavingHostGetsAndKeepsAShare lets a host leave before it was given a share:
+// callers who use a kept answer must be served there, until it gives the share
+// back by itself.
+func TestLeavingHostGetsAndKeepsAShare(t *testing.T) {
+	f := newFleet(3, 3, 2, pushpaDelays, DemandPolicy, testAccounts)
+	f.run(10 * time.Second)
+	leaving := f.hosts[1]
+	leaving.dead = true
+	f.run(20 * time.Second)
+	f.start(leaving)
+	f.run(500 * time.Millisecond)
+	f.apply(faultLeave, leaving, leaving)
+	f.run(3 * time.Second)
+	if share := leaving.agent.View().Pool.Bucket("large").Share(); share.Rate == 0 {
+		t.Errorf("got share %v at a host that leaves, want some until it gives it back", share)
+	}
+	f.apply(faultRelease, leaving, leaving)
+	f.run(4 * time.Second)
+	if got := f.held(t, "large")[leaving.id]; got != 0 {
+		t.Errorf("got %d still held after the host gave its share back, want none", got)
+	}
+}
