--- a/pkg/coordination/contact/contact.go
+++ b/pkg/coordination/contact/contact.go
@@ -9,6 +9,7 @@
 package contact
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -213,6 +214,8 @@
 	return t.nthUntil(t.majority(), now, func(p *peer) clock.Instant { return p.acknowledged }) >= now
 }
 
+// nthUntil returns the instant up to which the n latest of this host's and the
+// members' instants count as current.
 func (t *Tracker) nthUntil(n int, now clock.Instant, when func(*peer) clock.Instant) clock.Instant {
 	times := []clock.Instant{now}
 	for h := range t.members {
@@ -226,7 +229,7 @@
 	if len(times) < n || len(t.members) == 0 {
 		return never
 	}
-	slices.SortFunc(times, func(a, b clock.Instant) int { return int(min(max(b-a, -1), 1)) })
+	slices.SortFunc(times, func(a, b clock.Instant) int { return cmp.Compare(b, a) })
 	return times[n-1].Add(t.limits.Heard)
 }
 
@@ -283,6 +286,8 @@
 	return until
 }
 
+// explicitOutage tells whether the table has answered this host, or one in
+// contact, that it is out.
 func (t *Tracker) explicitOutage(now clock.Instant) bool {
 	if now.Sub(t.refusedByTable) <= t.limits.Fresh && t.refusedByTable != never {
 		return true
