Report the drain time of upstreams in place of a timed assertion

Cause: the test waited four seconds of real time and then wanted no request, so its verdict depended on how busy the machine is. It now waits until a batch of 60 requests brings the leaving upstream none, wants that to stay so for 200 more, and logs the time.

--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -12,9 +12,8 @@
 
 // TestPromiseLeavingUpstreamGetsNoNewWork lets one of two upstreams leave, with the
 // news from one source alone, and checks that every request is served and that
-// after a few seconds the leaving one gets none.
+// soon the leaving one gets none, for good. It logs how long that took.
 func TestPromiseLeavingUpstreamGetsNoNewWork(t *testing.T) {
-	const leaveLimit = 4 * time.Second
 	for _, c := range []struct {
 		name  string
 		leave func(*deployment, settings.Worker)
@@ -36,15 +35,19 @@
 			w := d.workers[s.ID]
 			d.eventually("the upstream to get work", func() bool { return d.reads(t, 10) == 10 && len(w.Journal()) > 0 })
 			c.leave(d, s)
-			for until := time.Now().Add(leaveLimit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
-				if got := d.reads(t, 10); got != 10 {
-					t.Fatalf("got %d of 10 requests served while an upstream leaves, want all", got)
+			start := time.Now()
+			d.eventually("the upstream to get no new work", func() bool {
+				before := len(w.Journal())
+				if got := d.reads(t, 60); got != 60 {
+					t.Fatalf("got %d of 60 requests served while an upstream leaves, want all", got)
 				}
-			}
+				return len(w.Journal()) == before
+			})
+			t.Logf("no new work %v after the upstream began to leave", time.Since(start).Round(time.Millisecond))
 			before := len(w.Journal())
-			d.reads(t, 100)
+			d.reads(t, 200)
 			if got := len(w.Journal()) - before; got != 0 {
-				t.Errorf("got %d requests at the upstream %v after it began to leave, want none", got, leaveLimit)
+				t.Errorf("got %d requests at the upstream after it had got none, want none for good", got)
 			}
 		})
 	}
