Check deadline and key again just before a request is sent

Cause: after a pause of the process the timer of the deadline may not have fired yet, so a request could be sent a minute late; and a request that had waited in the queue was not authenticated again. Ruled out: at most once (the claim holds whatever the pause) and the budget (its lease is read at each spend).

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -37,13 +37,24 @@
 )
 
 // pathServer is the path of a request on its own, with a budget that never ends.
-func pathServer(b *testing.B, worker string) *httptest.Server {
+func pathServer(b testing.TB, worker string) *httptest.Server {
+	b.Helper()
+	return pathServerWith(b, worker, clock.System{}, nil)
+}
+
+// pathServerWith is pathServer with another clock, and with a borrower that is
+// given the pool.
+func pathServerWith(b testing.TB, worker string, c clock.Clock, borrow func(*budget.Pool[id.Account, unit.Tokens]) caller.Borrower) *httptest.Server {
 	b.Helper()
-	c := clock.System{}
 	lease := &budget.Lease{}
 	lease.Extend(c.Now().Add(time.Hour))
 	pool := budget.New[id.Account, unit.Tokens](lease)
-	pool.Set("parish", budget.Share[unit.Tokens]{Rate: unit.Whole(100_000_000), Burst: unit.Whole(1_000_000)}, c.Now().Add(-time.Second))
+	var borrower caller.Borrower
+	if borrow == nil {
+		pool.Set("parish", budget.Share[unit.Tokens]{Rate: unit.Whole(100_000_000), Burst: unit.Whole(1_000_000)}, c.Now().Add(-time.Second))
+	} else {
+		borrower = borrow(pool)
+	}
 	hasher := key.NewHasher([]byte(testSecret))
 	ring := key.NewRing([]key.Record{{Hash: hasher.Hash(testKey), Account: "parish"}}, nil)
 	splits := release.NewSplits()
@@ -53,7 +64,7 @@
 		Host: "host", Region: "r0",
 		Gate:   &admit.Gate{Config: rcu.New(config.Compile(testConfig)), Ring: rcu.New(ring), Keyed: lease, Pool: pool},
 		Lookup: rcu.New(lookup.New(lookup.Inputs{Hosts: []fleet.Host{{ID: "host", Region: "r0", Address: "127.0.0.1:1"}}, Keep: time.Second})),
-		Hasher: hasher, Picker: picker, Recorder: release.NewRecorder(splits), Claims: claim.New("host", 1, table.NewMemory(), c),
+		Hasher: hasher, Borrower: borrower, Picker: picker, Recorder: release.NewRecorder(splits), Claims: claim.New("host", 1, table.NewMemory(), c),
 		Forwarder: upstream.NewForwarder("bench", 1, c), Clock: c, Log: logging.Discard(), Metrics: metrics.NewRegistry(),
 	})
 	router := bunrouter.New()
--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -249,8 +249,8 @@
 func (x *exchange) attempt(worker *pick.Worker) (refusal *admit.Refusal, again bool) {
 	defer x.server.queueOf(worker.Info.Service).Signal()
 	defer worker.Done()
-	if x.ctx.Err() != nil {
-		return x.ended(admit.ErrDeadlinePassed), false
+	if refusal := x.mayStillSend(); refusal != nil {
+		return x.ended(refusal), false
 	}
 	start := x.server.Clock.Now()
 	response, err := x.server.Forwarder.Do(x.ctx, worker, x.outgoing())
@@ -264,6 +264,17 @@
 	return x.classify(err)
 }
 
+// mayStillSend looks again, just before a request is sent, at what a wait or a
+// pause of the process may have changed: the deadline, on a clock that counts
+// pauses, and the caller's key.
+func (x *exchange) mayStillSend() *admit.Refusal {
+	now := x.server.Clock.Now()
+	if x.ctx.Err() != nil || now > x.until {
+		return admit.ErrDeadlinePassed
+	}
+	return x.server.Gate.Recheck(&x.ask, x.admission, now)
+}
+
 // observe counts the outcome for the worker's release, unless the caller gave
 // up or the worker did not run the request.
 func (x *exchange) observe(worker *pick.Worker, start clock.Instant, response *http.Response, err error) {
