--- a/cmd/celerypin/cmds/serve.go
+++ b/cmd/celerypin/cmds/serve.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"celerypin.example/celerypin/internal/daemon"
+	"celerypin.example/celerypin/internal/edge"
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/settings"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/platform"
 )
 
 // stopTime bounds a graceful stop.
@@ -27,10 +32,15 @@
 		Name:  "serve",
 		Usage: "run an entry host",
 		Description: "Answers look-ups, forwards requests and works with the other hosts.\n" +
+			"Without --config it runs on the users' platform, by the settings file that\n" +
+			"the variable " + platform.SettingsVariable + " names; SIGHUP reads that file again.\n" +
 			"On SIGINT or SIGTERM it stops gracefully; a second signal ends it at once.\n\n" +
 			"Example: celerypin serve --config examples/local/western-1.json",
-		Flags: []cli.Flag{settingsFlag()},
+		Flags: []cli.Flag{&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "read the project's own settings from `FILE`"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if !c.IsSet("config") {
+				return serveOnPlatform(ctx, c)
+			}
 			s, err := settings.Read[settings.Serve](c.String("config"))
 			if err != nil {
 				return err
@@ -69,3 +79,67 @@
 	case <-signals:
 	}
 }
+
+const (
+	// memoryPart is the part of a process's memory that the Go runtime may take
+	// before it collects harder; the rest is for sockets and stacks.
+	memoryPart = 0.6
+	mebibyte   = 1 << 20
+	// logPatience is how long the last lines may take to be written.
+	logPatience = 200 * time.Millisecond
+)
+
+// serveOnPlatform runs an entry host by the settings that the platform wrote.
+func serveOnPlatform(ctx context.Context, c *cli.Command) error {
+	// A client or log reader that has gone must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return exitWith(ExitUsage, err)
+	}
+	limitRuntime(s)
+	ring := logging.NewRing(c.Root().Writer)
+	defer func() { ring.Close(time.After(logPatience)) }()
+	log := logging.New(io.Writer(ring), "info", "json").With("host", s.Host)
+	e := edge.New(s, clock.System{}, log)
+	if err := e.Start(ctx); err != nil {
+		return err
+	}
+	return runUntilStopped(ctx, e, signals, path, log.Part("host"))
+}
+
+func limitRuntime(s platform.Settings) {
+	runtime.GOMAXPROCS(s.Cores)
+	if s.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMiB) * memoryPart * mebibyte))
+	}
+}
+
+// runUntilStopped reloads the settings at SIGHUP and stops at the other signals.
+func runUntilStopped(ctx context.Context, e *edge.Edge, signals <-chan os.Signal, path string, log *logging.Log) error {
+	for {
+		select {
+		case <-ctx.Done():
+			e.Stop()
+			return nil
+		case <-e.Dead():
+			log.With("error", e.Err()).Error("A part has failed.")
+			return e.Err()
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				e.Stop()
+				return nil
+			}
+			next, err := platform.ReadSettings(path)
+			if err != nil {
+				log.With("error", err.Error()).Error("The changed settings are not usable; the last ones stay in force.")
+				continue
+			}
+			e.Reload(next)
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/handler.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"celerypin.example/celerypin/internal/transport/http1"
+	"celerypin.example/celerypin/pkg/coordination/steer"
+	"celerypin.example/celerypin/platform"
+)
+
+// handler gives clients' requests to the steerer and encodes its decisions.
+type handler struct {
+	edge *Edge
+	log  *requestLog
+}
+
+// Handle implements http1.Handler.
+func (h *handler) Handle(ctx context.Context, c *http1.Call) http1.Reply {
+	head := platform.ParseCallerHead(c.Request.Header)
+	request := &steer.Request{
+		Attempt: head.Attempt, VirtualHost: c.Request.Host, Path: c.Request.URL.Path, Object: head.Object,
+		Key: head.Key, HasKey: head.HasKey, Remaining: head.Remaining, Arrived: c.Arrived,
+		BodyBytes: max(c.Request.ContentLength, int64(len(c.Body))), Replayable: c.Rest == nil, Turn: c.Turn,
+	}
+	d := h.edge.steerer.Serve(context.WithValue(ctx, callKey{}, c), request)
+	took := h.edge.clock.Now().Sub(c.Arrived)
+	h.edge.measures.count(d.Fate)
+	h.edge.measures.attempts.Inc(int64(d.Attempts))
+	h.edge.measures.latency.Update(took.Microseconds())
+	h.log.decided(request, &d, took)
+	return reply(head, &d)
+}
+
+// statuses of answers of our own. Only those of requests that have not run
+// promise that they never will.
+var statuses = map[steer.Fate]int{
+	steer.UnknownRoute: http.StatusNotFound,
+	steer.UnknownKey:   http.StatusUnauthorized,
+	steer.OverQuota:    http.StatusTooManyRequests,
+	steer.Refused:      http.StatusServiceUnavailable,
+	steer.Failed:       http.StatusBadGateway,
+	steer.TimedOut:     http.StatusGatewayTimeout,
+}
+
+func reply(head platform.CallerHead, d *steer.Decision[*http1.Answer]) http1.Reply {
+	if d.Fate == steer.Gone {
+		return http1.Reply{Abort: true}
+	}
+	if d.Fate == steer.Delivered {
+		a := d.Answer
+		return http1.Reply{Status: a.Status, Header: platform.CallerHeader(a.Header), Body: a.Body, Rest: a.Rest, Length: a.Length}
+	}
+	body, err := json.Marshal(struct {
+		Error steer.Reason `json:"error"`
+	}{d.Reason})
+	if err != nil {
+		body = nil
+	}
+	return http1.Reply{
+		Status: statuses[d.Fate], Header: platform.RefusalHeader(head.Attempt, d.RetryAfter), Body: append(body, '\n'),
+	}
+}
--- /dev/null
+++ b/internal/edge/sender.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+
+	"celerypin.example/celerypin/internal/transport/http1"
+	"celerypin.example/celerypin/pkg/coordination/steer"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/platform"
+)
+
+// callKey is the key of the call in the context of its decisions.
+type callKey struct{}
+
+// sender carries requests to upstreams over HTTP/1.1.
+type sender struct{ pool *http1.Pool }
+
+// errUnauthentic means that an answer does not prove to come from an upstream.
+var errUnauthentic = errors.New("the answer lacks the upstream's MAC")
+
+// Send implements steer.Sender.
+func (s *sender) Send(ctx context.Context, r *steer.Request, o steer.Order) steer.Exchange[*http1.Answer] {
+	call := ctx.Value(callKey{}).(*http1.Call)
+	in := call.Request
+	out := &http1.Outgoing{
+		Method: in.Method, Target: target(in), Host: in.Host, Body: call.Body, Rest: call.Rest, Length: int64(len(call.Body)), Fresh: o.Fresh,
+		Header:  platform.UpstreamHeader(in.Header, r.Attempt, o.Account, o.Upstream.Info.ID, o.Remaining),
+		Belongs: func(status int, h http.Header) bool { return belongs(r.Attempt, status, h) },
+	}
+	if call.Rest != nil {
+		out.Length = in.ContentLength
+	}
+	answer, err := s.pool.Do(ctx, o.Upstream.ConnectionKey(), o.Upstream.Info.Address, out)
+	if err != nil {
+		return failed(err)
+	}
+	return judge(answer)
+}
+
+// target returns the path and query as the client sent them.
+func target(r *http.Request) string {
+	if u, err := url.ParseRequestURI(r.RequestURI); err == nil && u.IsAbs() {
+		return u.RequestURI()
+	}
+	return r.RequestURI
+}
+
+func belongs(attempt id.Attempt, status int, h http.Header) bool {
+	head := platform.ParseUpstreamHead(status, h, false)
+	return attempt == "" || head.Attempt == attempt || (head.Attempt == "" && !head.Authentic)
+}
+
+func failed(err error) steer.Exchange[*http1.Answer] {
+	e := steer.Exchange[*http1.Answer]{Result: steer.Lost, Err: err, OnKept: true}
+	if errors.Is(err, http1.ErrNotSent) {
+		e.Result = steer.NotSent
+	}
+	return e
+}
+
+func judge(a *http1.Answer) steer.Exchange[*http1.Answer] {
+	head := platform.ParseUpstreamHead(a.Status, a.Header, a.Closing)
+	e := steer.Exchange[*http1.Answer]{
+		Answer: a, HasLoad: head.HasLoad, Running: head.Running, Waiting: head.Waiting, OnKept: a.Reused,
+	}
+	switch {
+	case head.Misdirected:
+		e.Result = steer.Misdirected
+	case head.NotRun:
+		e.Result = steer.Shed
+	case !head.Authentic:
+		e.Result, e.Err = steer.Lost, errUnauthentic
+	case a.Status >= http.StatusInternalServerError:
+		e.Result = steer.AnsweredBad
+	}
+	if e.Result != steer.Answered && e.Result != steer.AnsweredBad && a.Rest != nil {
+		a.Rest.Close()
+	}
+	return e
+}
--- /dev/null
+++ b/internal/protocol/gossip/gossip.go
@@ -0,0 +1,166 @@
+// Package gossip defines what the hosts on the platform tell each other: what
+// each says of itself, and rows of the store that another has missed. Each
+// message is one CBOR value.
+package gossip
+
+import (
+	"errors"
+	"fmt"
+
+	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/coordination/roster"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+)
+
+// ErrEmpty is returned for a message without content.
+var ErrEmpty = errors.New("message holds nothing")
+
+// Rows are the rows of a table that changed in (Base, Version].
+type Rows struct {
+	Table   string
+	Base    mirror.Version
+	Version mirror.Version
+	Rows    []mirror.Row
+}
+
+// Message is one of its fields.
+type Message struct {
+	Digest *roster.Digest
+	Rows   *Rows
+}
+
+type envelope struct {
+	From   id.Host `cbor:"from"`
+	To     id.Host `cbor:"to"`
+	Digest *digest `cbor:"digest,omitempty"`
+	Rows   *rows   `cbor:"rows,omitempty"`
+}
+
+type digest struct {
+	Incarnation   id.Incarnation            `cbor:"incarnation"`
+	Sequence      id.Sequence               `cbor:"sequence"`
+	Region        id.Region                 `cbor:"region"`
+	FailureDomain id.FailureDomain          `cbor:"failure_domain"`
+	Address       string                    `cbor:"address"`
+	Leaving       bool                      `cbor:"leaving,omitempty"`
+	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
+	Demand        map[id.Account]float32    `cbor:"demand,omitempty"`
+	Requests      float32                   `cbor:"requests"`
+	Outcomes      []outcome                 `cbor:"outcomes,omitempty"`
+	Bad           []bad                     `cbor:"bad,omitempty"`
+}
+
+type outcome struct {
+	_        struct{} `cbor:",toarray"`
+	Service  id.Service
+	Release  id.Release
+	Route    id.Route
+	Requests uint64
+	Failed   uint64
+	Slow     uint64
+}
+
+type bad struct {
+	_       struct{} `cbor:",toarray"`
+	Service id.Service
+	Release id.Release
+}
+
+type rows struct {
+	Table   string         `cbor:"table"`
+	Base    mirror.Version `cbor:"base"`
+	Version mirror.Version `cbor:"version"`
+	Rows    []row          `cbor:"rows"`
+}
+
+type row struct {
+	_       struct{} `cbor:",toarray"`
+	Key     string
+	Value   []byte
+	Version mirror.Version
+	Deleted bool
+}
+
+var wire codec.Codec[envelope] = codec.CBOR[envelope]{}
+
+// Wire implements the encoding that the mesh needs.
+type Wire struct{}
+
+// Encode returns the wire form of a message from one host to another.
+func (Wire) Encode(from, to id.Host, m Message) ([]byte, error) {
+	e := envelope{From: from, To: to}
+	if m.Digest != nil {
+		e.Digest = digestToWire(m.Digest)
+	}
+	if m.Rows != nil {
+		e.Rows = &rows{Table: m.Rows.Table, Base: m.Rows.Base, Version: m.Rows.Version}
+		for _, r := range m.Rows.Rows {
+			e.Rows.Rows = append(e.Rows.Rows, row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		}
+	}
+	return wire.Encode(e)
+}
+
+// Decode returns sender, addressee and content of a message.
+func (Wire) Decode(data []byte) (from, to id.Host, m Message, err error) {
+	e, err := wire.Decode(data)
+	if err != nil {
+		return "", "", m, fmt.Errorf("message of a host: %w", err)
+	}
+	if e.Digest != nil {
+		m.Digest = digestFromWire(e.From, e.Digest)
+	}
+	if e.Rows != nil {
+		m.Rows = &Rows{Table: e.Rows.Table, Base: e.Rows.Base, Version: e.Rows.Version}
+		for _, r := range e.Rows.Rows {
+			m.Rows.Rows = append(m.Rows.Rows, mirror.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		}
+	}
+	if m == (Message{}) {
+		return e.From, e.To, m, fmt.Errorf("message of host %q: %w", e.From, ErrEmpty)
+	}
+	return e.From, e.To, m, nil
+}
+
+func digestToWire(d *roster.Digest) *digest {
+	out := &digest{
+		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
+		Address: d.Host.Address, Leaving: d.Leaving, Versions: d.Versions, Requests: float32(d.Requests),
+		Demand: map[id.Account]float32{},
+	}
+	for account, rate := range d.Demand {
+		out.Demand[account] = float32(rate)
+	}
+	for s, c := range d.Outcomes {
+		out.Outcomes = append(out.Outcomes, outcome{
+			Service: s.Service, Release: s.Release, Route: s.Route, Requests: c.Requests, Failed: c.Failed, Slow: c.Slow,
+		})
+	}
+	for _, b := range d.Bad {
+		out.Bad = append(out.Bad, bad{Service: b.Service, Release: b.Release})
+	}
+	return out
+}
+
+func digestFromWire(from id.Host, d *digest) *roster.Digest {
+	out := &roster.Digest{
+		Incarnation: d.Incarnation, Sequence: d.Sequence,
+		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address},
+		Leaving: d.Leaving, Versions: d.Versions, Requests: float64(d.Requests),
+		Demand: map[id.Account]float64{}, Outcomes: map[release.Subject]release.Counts{},
+	}
+	for account, rate := range d.Demand {
+		out.Demand[account] = float64(rate)
+	}
+	for _, o := range d.Outcomes {
+		out.Outcomes[release.Subject{Service: o.Service, Release: o.Release, Route: o.Route}] =
+			release.Counts{Requests: o.Requests, Failed: o.Failed, Slow: o.Slow}
+	}
+	for _, b := range d.Bad {
+		out.Bad = append(out.Bad, release.ID{Service: b.Service, Release: b.Release})
+	}
+	return out
+}
--- a/internal/protocol/host/host.go
+++ b/internal/protocol/host/host.go
@@ -113,6 +113,15 @@
 
 var wire codec.Codec[Envelope] = codec.CBOR[Envelope]{}
 
+// Wire implements the encoding that the mesh needs.
+type Wire struct{}
+
+// Encode returns the wire form of a message from one host to another.
+func (Wire) Encode(from, to id.Host, m agent.Message) ([]byte, error) { return Encode(from, to, m) }
+
+// Decode returns sender, addressee and content of a message.
+func (Wire) Decode(data []byte) (from, to id.Host, m agent.Message, err error) { return Decode(data) }
+
 // Encode returns the wire form of a message from one host to another.
 func Encode(from, to id.Host, m agent.Message) ([]byte, error) {
 	return wire.Encode(toWire(from, to, m))
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -19,7 +19,6 @@
 
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/host"
-	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 )
@@ -41,22 +40,30 @@
 const tokenHeader = "Celerypin-Fleet-Token"
 
 // Events is what the mesh reports to its owner.
-type Events interface {
+type Events[M any] interface {
 	// Received is called for each message.
-	Received(from id.Host, m agent.Message)
+	Received(from id.Host, m M)
 	// Refused is called when a host's address answered that nothing listens there.
 	Refused(h id.Host)
 }
 
-// Mesh keeps connections to the other hosts. It is safe for concurrent use.
+// Wire encodes messages with their sender and their addressee.
+type Wire[M any] interface {
+	Encode(from, to id.Host, m M) ([]byte, error)
+	Decode(data []byte) (from, to id.Host, m M, err error)
+}
+
+// Mesh keeps connections to the other hosts and carries messages of type M. It
+// is safe for concurrent use.
 //
 // Of two hosts the one with the lower name dials. A connection that has been
 // silent for too long is closed and made anew; heartbeats keep it from being
 // silent while both ends live.
-type Mesh struct {
+type Mesh[M any] struct {
 	self   id.Host
 	token  string
-	events Events
+	wire   Wire[M]
+	events Events[M]
 	log    *logging.Log
 	client *http.Client
 	clock  clock.Clock
@@ -82,10 +89,12 @@
 }
 
 // New returns a mesh without connections.
-func New(self id.Host, secret []byte, events Events, log *logging.Log, c clock.Clock, registry metrics.Registry) *Mesh {
+func New[M any](
+	self id.Host, secret []byte, wire Wire[M], events Events[M], log *logging.Log, c clock.Clock, registry metrics.Registry,
+) *Mesh[M] {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Mesh{
-		self: self, token: fleetToken(secret), events: events, log: log, clock: c,
+	return &Mesh[M]{
+		self: self, token: fleetToken(secret), wire: wire, events: events, log: log, clock: c,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		ctx:    ctx, cancel: cancel,
 		sent:      metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
@@ -103,7 +112,7 @@
 
 // SetAddress tells where a host listens, and starts to connect to it if it is
 // this host's part to dial.
-func (m *Mesh) SetAddress(h id.Host, address string) {
+func (m *Mesh[M]) SetAddress(h id.Host, address string) {
 	if h == m.self || address == "" {
 		return
 	}
@@ -119,14 +128,14 @@
 
 // Send queues a message for a host; it is lost if there is no connection or
 // the queue is full.
-func (m *Mesh) Send(to id.Host, message agent.Message) {
+func (m *Mesh[M]) Send(to id.Host, message M) {
 	m.mu.Lock()
 	l := m.links[to]
 	m.mu.Unlock()
 	if l == nil {
 		return
 	}
-	data, err := host.Encode(m.self, to, message)
+	data, err := m.wire.Encode(m.self, to, message)
 	if err != nil {
 		m.log.With("error", err).Error("A message could not be encoded.")
 		return
@@ -138,7 +147,7 @@
 }
 
 // Close ends all connections and waits until they have ended.
-func (m *Mesh) Close() {
+func (m *Mesh[M]) Close() {
 	m.mu.Lock()
 	m.closed = true
 	m.mu.Unlock()
@@ -146,7 +155,7 @@
 	m.work.Wait()
 }
 
-func (m *Mesh) keepDialing(h id.Host) {
+func (m *Mesh[M]) keepDialing(h id.Host) {
 	defer m.work.Done()
 	for m.ctx.Err() == nil {
 		m.dialOnce(h)
@@ -154,7 +163,7 @@
 	}
 }
 
-func (m *Mesh) dialOnce(h id.Host) {
+func (m *Mesh[M]) dialOnce(h id.Host) {
 	m.mu.Lock()
 	address := m.addresses[h]
 	m.mu.Unlock()
@@ -172,7 +181,7 @@
 }
 
 // Accept upgrades a connection of another host and serves it until it ends.
-func (m *Mesh) Accept(w http.ResponseWriter, r *http.Request) {
+func (m *Mesh[M]) Accept(w http.ResponseWriter, r *http.Request) {
 	if subtle.ConstantTimeCompare([]byte(r.Header.Get(tokenHeader)), []byte(m.token)) != 1 {
 		http.Error(w, "fleet token missing or wrong", http.StatusForbidden)
 		return
@@ -193,7 +202,7 @@
 	m.serve(id.Host(r.Header.Get("Celerypin-From")), conn)
 }
 
-func (m *Mesh) enter() bool {
+func (m *Mesh[M]) enter() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
@@ -205,7 +214,7 @@
 
 // serve reads and writes one connection until it ends; a newer connection to
 // the same host ends an older one.
-func (m *Mesh) serve(h id.Host, conn *websocket.Conn) {
+func (m *Mesh[M]) serve(h id.Host, conn *websocket.Conn) {
 	ctx, cancel := context.WithCancel(m.ctx)
 	defer cancel()
 	conn.SetReadLimit(host.MaxMessage)
@@ -223,7 +232,7 @@
 	_ = conn.CloseNow()
 }
 
-func (m *Mesh) replace(h id.Host, l *link) {
+func (m *Mesh[M]) replace(h id.Host, l *link) {
 	m.mu.Lock()
 	old := m.links[h]
 	m.links[h] = l
@@ -234,7 +243,7 @@
 	m.log.With("host", h).Debug("Connected.")
 }
 
-func (m *Mesh) remove(h id.Host, l *link) {
+func (m *Mesh[M]) remove(h id.Host, l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.links[h] == l {
@@ -242,7 +251,7 @@
 	}
 }
 
-func (m *Mesh) write(ctx context.Context, l *link) {
+func (m *Mesh[M]) write(ctx context.Context, l *link) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -262,14 +271,14 @@
 	return conn.Write(ctx, websocket.MessageBinary, data) == nil
 }
 
-func (m *Mesh) receive(ctx context.Context, h id.Host, l *link) {
+func (m *Mesh[M]) receive(ctx context.Context, h id.Host, l *link) {
 	for {
 		data, err := readOne(ctx, l.conn)
 		if err != nil {
 			return
 		}
 		m.read.Inc(int64(len(data)))
-		from, to, message, err := host.Decode(data)
+		from, to, message, err := m.wire.Decode(data)
 		if err != nil || from != h || to != m.self {
 			m.log.With("host", h).Warn("A malformed message ended the connection.")
 			return
--- a/internal/transport/host/mesh_test.go
+++ b/internal/transport/host/mesh_test.go
@@ -13,6 +13,7 @@
 
 	"celerypin.example/celerypin/internal/faultnet"
 	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/internal/protocol/host"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -48,14 +49,14 @@
 
 // node is a mesh that listens.
 type node struct {
-	mesh   *Mesh
+	mesh   *Mesh[agent.Message]
 	events *recorder
 	server *httptest.Server
 }
 
 func newNode(t *testing.T, name id.Host, secret string) *node {
 	n := &node{events: &recorder{}}
-	n.mesh = New(name, []byte(secret), n.events, logging.Discard(), clock.System{}, metrics.NewRegistry())
+	n.mesh = New[agent.Message](name, []byte(secret), host.Wire{}, n.events, logging.Discard(), clock.System{}, metrics.NewRegistry())
 	n.server = httptest.NewServer(http.HandlerFunc(n.mesh.Accept))
 	t.Cleanup(n.server.Close)
 	t.Cleanup(n.mesh.Close)
--- /dev/null
+++ b/internal/transport/http1/stream.go
@@ -0,0 +1,93 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// errLimit means that a client sent a larger head than allowed.
+var errLimit = errors.New("the head of the request is too large")
+
+// limitReader fails when more bytes are read than allowed.
+type limitReader struct {
+	in   io.Reader
+	left int64
+}
+
+func (l *limitReader) allow(n int64) { l.left = n }
+
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errLimit
+	}
+	if int64(len(p)) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.in.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
+
+// Rest is the part of a body that is passed on while it arrives. Close may be
+// called more than once.
+type Rest struct {
+	in       io.ReadCloser
+	done     chan struct{}
+	once     sync.Once
+	complete atomic.Bool
+	onClose  func(complete bool)
+}
+
+func newRest(in io.ReadCloser) *Rest { return &Rest{in: in, done: make(chan struct{})} }
+
+// Read reads on. Any error but io.EOF means that the body is not complete.
+func (r *Rest) Read(p []byte) (int, error) {
+	n, err := r.in.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.complete.Store(true)
+	}
+	return n, err
+}
+
+// Close ends the reading, whether or not the body is complete.
+func (r *Rest) Close() {
+	r.once.Do(func() {
+		if r.onClose != nil {
+			r.onClose(r.complete.Load())
+		}
+		close(r.done)
+	})
+}
+
+// chunkWriter writes each write as one chunk.
+type chunkWriter struct{ out io.Writer }
+
+func (c *chunkWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if _, err := fmt.Fprintf(c.out, "%x\r\n", len(p)); err != nil {
+		return 0, err
+	}
+	if n, err := c.out.Write(p); err != nil {
+		return n, err
+	}
+	_, err := io.WriteString(c.out, "\r\n")
+	return len(p), err
+}
+
+// deadlineWriter gives each write to a connection its own time.
+type deadlineWriter struct {
+	conn net.Conn
+	out  io.Writer
+}
+
+func (d *deadlineWriter) Write(p []byte) (int, error) {
+	_ = d.conn.SetWriteDeadline(time.Now().Add(replyTimeout))
+	return d.out.Write(p)
+}
--- /dev/null
+++ b/pkg/coordination/quota/quota.go
@@ -0,0 +1,175 @@
+// Package quota keeps client accounts within their rates over all hosts
+// together. Each host has a share of each account's rate and burst, in
+// proportion to the demand that reaches it, and spends it without asking.
+package quota
+
+import (
+	"maps"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/budget"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/rcu"
+	"celerypin.example/celerypin/pkg/state/unit"
+)
+
+const (
+	// smoothing is the time constant over which demand is averaged.
+	smoothing = 1500 * time.Millisecond
+	// evenPart is the part of a quota that is divided evenly, so that a host
+	// which had no demand has something for the first requests.
+	evenPart = 0.25
+	// firstSpan is the part of a second's rate that a new bucket holds. It is
+	// small, because hosts that restart together must not get their bursts twice.
+	firstSpan = 0.3
+	// burstPart keeps a part of the burst back, for what hosts spend while their
+	// views of the demand differ.
+	burstPart = 0.85
+)
+
+// Shares holds this host's part of each account's quota. Requests read one
+// snapshot and take no lock.
+type Shares struct {
+	accounts  *rcu.Cell[map[id.Account]*share]
+	steppedAt clock.Instant
+}
+
+type share struct {
+	bucket *budget.Bucket[unit.Tokens]
+	// asked counts the requests that came.
+	asked atomic.Int64
+	// counted is what of asked is in demand already; only Step uses it.
+	counted int64
+	// demand is the requests a second, as the bits of a float64.
+	demand atomic.Uint64
+	// bound tells whether the account has a quota.
+	bound atomic.Bool
+	part  budget.Share[unit.Tokens]
+}
+
+// New returns shares of no account.
+func New(now clock.Instant) *Shares {
+	return &Shares{accounts: rcu.New(map[id.Account]*share{}), steppedAt: now}
+}
+
+// Take admits a request of an account, or returns how long to wait.
+func (s *Shares) Take(account id.Account, now clock.Instant) (ok bool, wait time.Duration) {
+	sh := (*s.accounts.Load())[account]
+	if sh == nil {
+		return true, 0
+	}
+	sh.asked.Add(1)
+	if !sh.bound.Load() || sh.bucket.Spend(unit.Token, now) {
+		return true, 0
+	}
+	rate := max(float64(sh.bucket.Share().Rate)/float64(unit.Token), leastRate)
+	return false, time.Duration(float64(time.Second) / rate)
+}
+
+// leastRate bounds the wait that a refusal names, in requests a second.
+const leastRate = 0.5
+
+// Demand returns the requests a second of each account that reach this host.
+func (s *Shares) Demand() map[id.Account]float64 {
+	out := map[id.Account]float64{}
+	for account, sh := range *s.accounts.Load() {
+		if d := math.Float64frombits(sh.demand.Load()); d > 0.05 {
+			out[account] = d
+		}
+	}
+	return out
+}
+
+// Requests returns the requests a second of all accounts.
+func (s *Shares) Requests() float64 {
+	sum := 0.0
+	for _, d := range s.Demand() {
+		sum += d
+	}
+	return sum
+}
+
+// Step measures demand and sets the shares anew, given the accounts and what
+// the other hosts that may serve have told of their demand. Only one goroutine
+// may call it.
+func (s *Shares) Step(accounts []*desired.Account, others []map[id.Account]float64, now clock.Instant) {
+	elapsed := now.Sub(s.steppedAt)
+	if elapsed <= 0 {
+		return
+	}
+	s.steppedAt = now
+	s.add(accounts, len(others), now)
+	current := *s.accounts.Load()
+	for _, a := range accounts {
+		sh := current[a.ID]
+		sh.measure(elapsed)
+		sh.bound.Store(a.Rate > 0)
+		if a.Rate > 0 {
+			sh.set(divide(a, sh, others), now)
+		}
+	}
+}
+
+// add makes buckets for new accounts and drops those of accounts that are gone.
+func (s *Shares) add(accounts []*desired.Account, others int, now clock.Instant) {
+	old := *s.accounts.Load()
+	next := make(map[id.Account]*share, len(accounts))
+	changed := len(accounts) != len(old)
+	for _, a := range accounts {
+		if next[a.ID] = old[a.ID]; next[a.ID] != nil {
+			continue
+		}
+		changed = true
+		rate := a.Rate / float64(others+1)
+		sh := &share{bucket: budget.NewBucket(budget.Share[unit.Tokens]{
+			Rate: tokens(rate), Burst: tokens(max(rate*firstSpan, 1)),
+		}, now.Add(-time.Duration(firstSpan*float64(time.Second))))}
+		sh.bound.Store(a.Rate > 0)
+		next[a.ID] = sh
+	}
+	if changed {
+		s.accounts.Store(maps.Clone(next))
+	}
+}
+
+func (sh *share) measure(elapsed time.Duration) {
+	asked := sh.asked.Load()
+	rate := float64(asked-sh.counted) / elapsed.Seconds()
+	sh.counted = asked
+	weight := 1 - math.Exp(-elapsed.Seconds()/smoothing.Seconds())
+	old := math.Float64frombits(sh.demand.Load())
+	sh.demand.Store(math.Float64bits(old + (rate-old)*weight))
+}
+
+// divide returns this host's part of an account's quota.
+func divide(a *desired.Account, sh *share, others []map[id.Account]float64) budget.Share[unit.Tokens] {
+	own := math.Float64frombits(sh.demand.Load())
+	all := own
+	for _, d := range others {
+		all += d[a.ID]
+	}
+	even := 1 / float64(len(others)+1)
+	part := even
+	if all > 0 {
+		part = evenPart*even + (1-evenPart)*own/all
+	}
+	return budget.Share[unit.Tokens]{Rate: tokens(a.Rate * part), Burst: tokens(max(a.Burst*burstPart*part, 1))}
+}
+
+// set replaces the share if it has changed enough to matter.
+func (sh *share) set(part budget.Share[unit.Tokens], now clock.Instant) {
+	if near(part.Rate, sh.part.Rate) && near(part.Burst, sh.part.Burst) {
+		return
+	}
+	sh.part = part
+	sh.bucket.SetShare(part, now)
+}
+
+// near tells whether two amounts differ by less than one in fifty.
+func near(a, b unit.Tokens) bool { return max(a, b)-min(a, b) <= max(a, b)/50 }
+
+func tokens(n float64) unit.Tokens { return unit.Tokens(n * float64(unit.Token)) }
--- /dev/null
+++ b/pkg/coordination/rollout/rollout.go
@@ -0,0 +1,230 @@
+// Package rollout moves a service to a new release in steps that all hosts
+// agree on. Growing needs a committed record; taking back needs nobody: a host
+// that finds a release bad stops sending to it at once.
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+// Order is an operator's order, with the version of the row that holds it.
+type Order struct {
+	Service id.Service
+	To      id.Release
+	Within  time.Duration
+	Version mirror.Version
+}
+
+// Record is what hosts agree on about the releases of a service.
+type Record struct {
+	Service id.Service `json:"service"`
+	// Current is the release that carries the service.
+	Current id.Release `json:"current"`
+	// Order is the version of the order that Change carries out.
+	Order  mirror.Version `json:"order"`
+	Step   int            `json:"step"`
+	Change table.Release  `json:"change"`
+	// Version is that of the row; it is the condition of the next write.
+	Version mirror.Version `json:"-"`
+}
+
+// Write is a record to be committed if its row still has Version.
+type Write struct {
+	Record Record
+	// Told is set if operators are to be told of the state.
+	Told bool
+}
+
+// steps are the shares of a new release, in thousandths. Up to observed it gets
+// less than the part that an unjudged release may get; faults that show only
+// some seconds after the start show there.
+var steps = []table.Milli{50, 90, 90, 90, 250, 500, 750, table.Whole}
+
+const (
+	observed = 3
+	// stepsPart is the part of the given time that all steps take together.
+	stepsPart = 0.62
+	// leastSeen is the number of requests that a release must have had before it
+	// gets more than the observed share.
+	leastSeen = 25
+	// patience is how many times longer a step may wait for them.
+	patience = 2.5
+	// exposureMargin keeps the observed share below the bound.
+	exposureMargin = 0.9
+)
+
+// Keeper decides on the releases of all services. It is used by one goroutine.
+type Keeper struct {
+	judge *release.Judge
+	tally *tally
+	bad   map[release.ID]string
+	// since is when this host first saw the current step of a service.
+	since map[id.Service]seen
+	cap   table.Milli
+}
+
+type seen struct {
+	order mirror.Version
+	step  int
+	at    clock.Instant
+}
+
+// New returns a keeper that gives an unjudged release at most a part of the requests.
+func New(exposure float64) *Keeper {
+	return &Keeper{
+		judge: &release.Judge{}, tally: newTally(), bad: map[release.ID]string{}, since: map[id.Service]seen{},
+		cap: table.Milli(exposure * exposureMargin * float64(table.Whole)),
+	}
+}
+
+// Input is what a step of the keeper goes by.
+type Input struct {
+	Orders  []Order
+	Records map[id.Service]Record
+	// Releases returns the number of upstreams of each release of a service.
+	Releases func(id.Service) map[id.Release]int
+	// Leads tells whether this host writes.
+	Leads bool
+}
+
+// Hear takes the outcomes that a host has counted.
+func (k *Keeper) Hear(host id.Host, inc id.Incarnation, outcomes map[release.Subject]release.Counts) {
+	k.tally.hear(host, inc, outcomes)
+}
+
+// HearBad takes another host's word that a release is bad.
+func (k *Keeper) HearBad(r release.ID) {
+	if k.bad[r] == "" {
+		k.bad[r] = "another host found it bad"
+	}
+}
+
+// Bad returns the releases that are taken to be bad.
+func (k *Keeper) Bad() []release.ID {
+	out := make([]release.ID, 0, len(k.bad))
+	for r := range k.bad {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, release.Compare)
+	return out
+}
+
+// IsBad tells whether a release is taken to be bad.
+func (k *Keeper) IsBad(r release.ID) bool { return k.bad[r] != "" }
+
+// Step returns the writes that are due.
+func (k *Keeper) Step(in Input, now clock.Instant) []Write {
+	k.judge.Observe(now, k.tally.counts())
+	var writes []Write
+	for _, o := range in.Orders {
+		if w, due := k.stepOrder(o, in, now); due && in.Leads {
+			writes = append(writes, w)
+		}
+	}
+	return writes
+}
+
+func (k *Keeper) stepOrder(o Order, in Input, now clock.Instant) (Write, bool) {
+	r, known := in.Records[o.Service]
+	if !known || r.Order != o.Version {
+		return k.begin(o, r, known, in.Releases(o.Service))
+	}
+	if r.Change.State != table.ReleaseGrowing {
+		return Write{}, false
+	}
+	change := release.ID{Service: o.Service, Release: r.Change.New}
+	if reason, bad := k.judge.Bad(o.Service, r.Change.Old, r.Change.New); bad && k.bad[change] == "" {
+		k.bad[change] = reason
+	}
+	if reason := k.bad[change]; reason != "" {
+		r.Change.State, r.Change.Share, r.Change.Reason = table.ReleaseRetreated, 0, reason
+		return Write{Record: r, Told: true}, true
+	}
+	return k.advance(o, r, now)
+}
+
+// begin starts to carry out an order.
+func (k *Keeper) begin(o Order, r Record, known bool, releases map[id.Release]int) (Write, bool) {
+	current := r.Current
+	if !known {
+		if current = Majority(releases, o.To); current == "" {
+			return Write{}, false
+		}
+	}
+	next := Record{Service: o.Service, Current: current, Order: o.Version, Version: r.Version, Change: table.Release{
+		Service: o.Service, Old: current, New: o.To, Share: k.share(0), State: table.ReleaseGrowing, Deadline: config.Duration(o.Within),
+	}}
+	if current == o.To {
+		next.Change.State, next.Change.Share = table.ReleaseDone, table.Whole
+	}
+	return Write{Record: next, Told: true}, true
+}
+
+func (k *Keeper) share(step int) table.Milli {
+	if step <= observed {
+		return min(steps[step], k.cap)
+	}
+	return steps[step]
+}
+
+// advance goes on to the next step if the current one has lasted long enough.
+func (k *Keeper) advance(o Order, r Record, now clock.Instant) (Write, bool) {
+	s := k.since[o.Service]
+	if s.order != r.Order || s.step != r.Step {
+		k.since[o.Service] = seen{r.Order, r.Step, now}
+		return Write{}, false
+	}
+	stepTime := time.Duration(float64(o.Within) * stepsPart / float64(len(steps)))
+	lasted := now.Sub(s.at)
+	if lasted < stepTime {
+		return Write{}, false
+	}
+	if r.Step >= observed && k.tally.requests(o.Service, r.Change.New) < leastSeen && lasted < time.Duration(patience*float64(stepTime)) {
+		return Write{}, false
+	}
+	if r.Step++; r.Step >= len(steps) {
+		r.Step = len(steps) - 1
+		r.Change.State, r.Current = table.ReleaseDone, r.Change.New
+		return Write{Record: r, Told: true}, true
+	}
+	r.Change.Share = k.share(r.Step)
+	return Write{Record: r}, true
+}
+
+// Majority returns the release with the most upstreams, other than one that is
+// not approved yet if there is another.
+func Majority(releases map[id.Release]int, unapproved id.Release) id.Release {
+	names := make([]id.Release, 0, len(releases))
+	for name := range releases {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b id.Release) int {
+		if a == unapproved || b == unapproved {
+			return cmp.Compare(boolToInt(a == unapproved), boolToInt(b == unapproved))
+		}
+		if c := cmp.Compare(releases[b], releases[a]); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/coordination/roster/roster.go
@@ -0,0 +1,224 @@
+// Package roster keeps what a host knows of the others: which there are, which
+// live, and what each has last said of itself.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+)
+
+// Member is a host as the store lists it.
+type Member struct {
+	fleet.Host
+	PeerAddress string
+	Incarnation id.Incarnation
+}
+
+// Digest is what a host says of itself at intervals.
+type Digest struct {
+	Incarnation id.Incarnation
+	Sequence    id.Sequence
+	Host        fleet.Host
+	Leaving     bool
+	// Versions are those as of which the host's copies of the tables are complete.
+	Versions map[string]mirror.Version
+	// Demand is the requests a second of each account that reach the host.
+	Demand map[id.Account]float64
+	// Requests is the requests a second that reach the host.
+	Requests float64
+	// Outcomes are those of the services whose release changes.
+	Outcomes map[release.Subject]release.Counts
+	// Bad are the releases that the host takes to be bad.
+	Bad []release.ID
+}
+
+// Times after which a silent host counts as less.
+const (
+	// liveFor is a few intervals between digests; a lossy link may lose one.
+	liveFor = 2 * time.Second
+	// reservedFor is how long a silent host is taken to use its shares: it may
+	// serve on behind a partition.
+	reservedFor = 40 * time.Second
+)
+
+// Roster is safe for concurrent use.
+type Roster struct {
+	self    Member
+	mu      sync.Mutex
+	listed  map[id.Host]Member
+	digests map[id.Host]heard
+}
+
+type heard struct {
+	digest Digest
+	at     clock.Instant
+}
+
+// New returns the roster of a host that knows only itself.
+func New(self Member) *Roster {
+	return &Roster{self: self, listed: map[id.Host]Member{}, digests: map[id.Host]heard{}}
+}
+
+// SetListed replaces the hosts that the store lists.
+func (r *Roster) SetListed(members []Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed = map[id.Host]Member{}
+	for _, m := range members {
+		if m.ID != r.self.ID {
+			r.listed[m.ID] = m
+		}
+	}
+}
+
+// Listed returns the other hosts that the store lists.
+func (r *Roster) Listed() []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Member, 0, len(r.listed))
+	for _, m := range r.listed {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Hear takes a digest. Older ones than the last change nothing.
+func (r *Roster) Hear(d Digest, now clock.Instant) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, known := r.digests[d.Host.ID]
+	if known && (d.Incarnation < old.digest.Incarnation ||
+		(d.Incarnation == old.digest.Incarnation && d.Sequence <= old.digest.Sequence)) {
+		return false
+	}
+	r.digests[d.Host.ID] = heard{d, now}
+	return true
+}
+
+// Live returns the digests of the other hosts that live, by name.
+func (r *Roster) Live(now clock.Instant) []Digest { return r.within(liveFor, now) }
+
+// Reserved returns the digests of the other hosts that live, or may serve on
+// unheard.
+func (r *Roster) Reserved(now clock.Instant) []Digest { return r.within(reservedFor, now) }
+
+func (r *Roster) within(limit time.Duration, now clock.Instant) []Digest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Digest
+	for _, h := range r.digests {
+		if now.Sub(h.at) < limit {
+			out = append(out, h.digest)
+		}
+	}
+	slices.SortFunc(out, func(a, b Digest) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	return out
+}
+
+// SendersIn returns how many hosts of a region may send requests: this one,
+// those that are listed, and those that were heard lately.
+func (r *Roster) SendersIn(region id.Region, now clock.Instant) int {
+	names := map[id.Host]bool{}
+	if r.self.Region == region {
+		names[r.self.ID] = true
+	}
+	for _, m := range r.Listed() {
+		if m.Region == region {
+			names[m.ID] = true
+		}
+	}
+	for _, d := range r.Live(now) {
+		if d.Host.Region == region {
+			names[d.Host.ID] = true
+		}
+	}
+	return len(names)
+}
+
+// Demand returns the part of all requests that each region has. Regions of
+// which nothing is known count like the others.
+func (r *Roster) Demand(own float64, regions []id.Region, now clock.Instant) map[id.Region]float64 {
+	// Each region gets a floor, so that one without requests keeps some room.
+	const floor = 5.0
+	out := map[id.Region]float64{}
+	sum := 0.0
+	for _, region := range regions {
+		out[region] = floor
+		sum += floor
+	}
+	add := func(region id.Region, rate float64) {
+		if _, known := out[region]; known {
+			out[region] += rate
+			sum += rate
+		}
+	}
+	add(r.self.Region, own)
+	for _, d := range r.Live(now) {
+		add(d.Host.Region, d.Requests)
+	}
+	for region := range out {
+		out[region] /= max(sum, 1)
+	}
+	return out
+}
+
+// Leads tells whether this host is the first by name of those that live, which
+// takes the steps that one host should take. Several hosts may think so; what
+// they write is conditional.
+func (r *Roster) Leads(leaving bool, now clock.Instant) bool {
+	if leaving {
+		return false
+	}
+	for _, d := range r.Live(now) {
+		if !d.Leaving && d.Host.ID < r.self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// Nearby returns the addresses of the live hosts that a client should use: those
+// of its failure domain if there are a few, those of its region otherwise, and
+// only if there are none those of other regions.
+func (r *Roster) Nearby(region id.Region, domain id.FailureDomain, leaving bool, now clock.Instant) []string {
+	var hosts []fleet.Host
+	if !leaving {
+		hosts = append(hosts, r.self.Host)
+	}
+	for _, d := range r.Live(now) {
+		if !d.Leaving {
+			hosts = append(hosts, d.Host)
+		}
+	}
+	if len(hosts) == 0 {
+		return []string{r.self.Address}
+	}
+	in := func(wanted func(fleet.Host) bool) []string {
+		var out []string
+		for _, h := range hosts {
+			if wanted(h) {
+				out = append(out, h.Address)
+			}
+		}
+		return out
+	}
+	if near := in(func(h fleet.Host) bool { return h.FailureDomain == domain }); len(near) >= nearEnough {
+		return near
+	}
+	if near := in(func(h fleet.Host) bool { return h.Region == region }); len(near) > 0 {
+		return near
+	}
+	return in(func(fleet.Host) bool { return true })
+}
+
+// nearEnough is the number of hosts of a failure domain that bear the loss of one.
+const nearEnough = 2
--- /dev/null
+++ b/pkg/state/desired/desired.go
@@ -0,0 +1,171 @@
+// Package desired holds the operator's desired state: routes, client accounts
+// with their keys and quotas, services, and the limits of what a client may send.
+package desired
+
+import (
+	"strings"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// Version numbers the desired states; it grows in uneven steps.
+type Version uint64
+
+// Kind tells what may be repeated.
+type Kind int
+
+// Kinds of requests.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests may run at most once for each attempt of a client.
+	NonIdempotent
+	// Upload is NonIdempotent with a large body.
+	Upload
+)
+
+// Priority ranks requests; 0 is the most urgent.
+type Priority int
+
+// Target is one service that a route sends requests to, with its part of them.
+type Target struct {
+	Service id.Service
+	Weight  int
+}
+
+// Route maps the requests of one virtual host under a path prefix to services.
+type Route struct {
+	Name        id.Route
+	VirtualHost string
+	Prefix      string
+	Kind        Kind
+	Targets     []Target
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Objective is the latency objective.
+	Objective time.Duration
+	// MaxAttempts bounds the upstreams that one attempt of a client is sent to.
+	MaxAttempts int
+	Priority    Priority
+	// Open routes need no key.
+	Open bool
+	// Sticky routes are served faster by an upstream that knows the object.
+	Sticky bool
+	// Homes are the regions that may serve the route; none means all.
+	Homes []id.Region
+}
+
+// Repeatable tells whether a request may be sent again after it may have run.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
+
+// Account is a client account.
+type Account struct {
+	ID       id.Account
+	Keys     []string
+	Priority Priority
+	// HasPriority tells whether the account's priority replaces the route's.
+	HasPriority bool
+	// Rate and Burst bound the requests of all hosts together, in requests a
+	// second and requests. A Rate of 0 means no bound.
+	Rate, Burst float64
+	Homes       []id.Region
+}
+
+// Service is a group of interchangeable upstreams.
+type Service struct {
+	Name       id.Service
+	HealthPath string
+	// MaxConnections is what one upstream accepts from all hosts together.
+	MaxConnections int
+	// ColdFor is how long an upstream stays cold after its start.
+	ColdFor time.Duration
+	// ColdPerSecond is the rate of requests that a cold upstream tolerates.
+	ColdPerSecond float64
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes   int
+	MaxBodyBytes  int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// State is one desired state. It is immutable; Compile prepares it for look-ups.
+type State struct {
+	Version  Version
+	Routes   []*Route
+	Accounts []*Account
+	Services []*Service
+	Limits   Limits
+
+	byHost    map[string]map[string]*Route
+	byKey     map[string]*Account
+	byService map[id.Service]*Service
+}
+
+// Compile builds the indexes and returns the state.
+func (s *State) Compile() *State {
+	s.byHost = map[string]map[string]*Route{}
+	for _, r := range s.Routes {
+		if s.byHost[r.VirtualHost] == nil {
+			s.byHost[r.VirtualHost] = map[string]*Route{}
+		}
+		s.byHost[r.VirtualHost][r.Prefix] = r
+	}
+	s.byKey = map[string]*Account{}
+	for _, a := range s.Accounts {
+		for _, k := range a.Keys {
+			s.byKey[k] = a
+		}
+	}
+	s.byService = map[id.Service]*Service{}
+	for _, v := range s.Services {
+		s.byService[v.Name] = v
+	}
+	return s
+}
+
+// Match finds the route with the longest prefix that begins path, among those
+// of the virtual host.
+func (s *State) Match(virtualHost, path string) (*Route, bool) {
+	prefixes := s.byHost[virtualHost]
+	if prefixes == nil {
+		return nil, false
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := prefixes[path[:end+1]]; ok {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the account that holds a key.
+func (s *State) Account(key string) (*Account, bool) {
+	a, ok := s.byKey[key]
+	return a, ok
+}
+
+// Service returns a service by name, or nil.
+func (s *State) Service(name id.Service) *Service { return s.byService[name] }
+
+// HomesOf returns the regions that may serve a request of an account on a
+// route. If both name homes, both bind. bound tells whether there is a bound.
+func HomesOf(r *Route, a *Account) (homes []id.Region, bound bool) {
+	switch {
+	case a == nil || len(a.Homes) == 0:
+		return r.Homes, len(r.Homes) > 0
+	case len(r.Homes) == 0:
+		return a.Homes, true
+	}
+	for _, h := range r.Homes {
+		for _, other := range a.Homes {
+			if h == other {
+				homes = append(homes, h)
+			}
+		}
+	}
+	return homes, true
+}
--- a/pkg/state/fleet/fleet.go
+++ b/pkg/state/fleet/fleet.go
@@ -33,4 +33,6 @@
 	Address       string           `json:"address"`
 	Slots         int              `json:"slots"`
 	State         UpstreamState    `json:"state"`
+	// Incarnation is the upstream's start; a later one knows nothing of before.
+	Incarnation id.Incarnation `json:"incarnation,omitempty"`
 }
--- a/pkg/state/id/id.go
+++ b/pkg/state/id/id.go
@@ -34,6 +34,12 @@
 // Request is the identifier a caller gives to a non-idempotent request.
 type Request string
 
+// Attempt identifies one attempt of a client; a client's retry is another attempt.
+type Attempt string
+
+// Object names what a request is about, as the client says it.
+type Object string
+
 // Operation identifies one write to the platform's table, so that a write whose
 // answer was lost can be settled by reading it back.
 type Operation string
--- /dev/null
+++ b/pkg/state/mirror/mirror.go
@@ -0,0 +1,122 @@
+// Package mirror keeps a copy of one table of the store. Copies of several
+// hosts are brought together by the versions of their rows, whichever way the
+// rows come.
+package mirror
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Version numbers the store's transactions; a row has that of its last change.
+type Version uint64
+
+// Row is one row as the store holds it. A deleted row keeps its version, so
+// that an older copy of it does not come back.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version Version
+	Deleted bool
+}
+
+// Table is the copy of one table. It is complete as of Version: it reflects
+// all changes up to it, and possibly later ones. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]Row
+	version Version
+}
+
+// New returns an empty table at version 0.
+func New() *Table { return &Table{rows: map[string]Row{}} }
+
+// Version returns the version as of which the copy is complete.
+func (t *Table) Version() Version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Apply takes changed rows that make the copy complete as of version, given
+// that it was complete as of base. It returns the rows that changed here. If
+// the copy is older than base, the rows are taken but the version is not.
+func (t *Table) Apply(rows []Row, base, version Version) []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := t.merge(rows)
+	if base <= t.version && version > t.version {
+		t.version = version
+	}
+	return changed
+}
+
+// Reset takes a full listing as of version; rows that it lacks were deleted.
+func (t *Table) Reset(rows []Row, version Version) []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version < t.version {
+		return nil
+	}
+	changed := t.merge(rows)
+	listed := map[string]bool{}
+	for _, r := range rows {
+		listed[r.Key] = true
+	}
+	for key, r := range t.rows {
+		if !listed[key] && !r.Deleted && r.Version <= version {
+			r.Deleted, r.Value, r.Version = true, nil, version
+			t.rows[key] = r
+			changed = append(changed, r)
+		}
+	}
+	t.version = version
+	return changed
+}
+
+func (t *Table) merge(rows []Row) []Row {
+	var changed []Row
+	for _, r := range rows {
+		if old, ok := t.rows[r.Key]; ok && old.Version >= r.Version {
+			continue
+		}
+		t.rows[r.Key] = r
+		changed = append(changed, r)
+	}
+	return changed
+}
+
+// Since returns the rows that changed after a version, in the order of versions.
+func (t *Table) Since(after Version) ([]Row, Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Row
+	for _, r := range t.rows {
+		if r.Version > after {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Row) int { return int(a.Version) - int(b.Version) })
+	return out, t.version
+}
+
+// Rows returns the rows that exist, by key.
+func (t *Table) Rows() map[string]Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := maps.Clone(t.rows)
+	maps.DeleteFunc(out, func(_ string, r Row) bool { return r.Deleted })
+	return out
+}
+
+// Get returns one row; absent rows have version 0.
+func (t *Table) Get(key string) Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[key]
+	if r.Deleted {
+		return Row{Key: key}
+	}
+	return r
+}
