--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -66,7 +66,7 @@
 	line := l.log.With("attempt_id", r.Attempt).With("route", d.Route).With("state_version", d.Version).
 		With("account", d.Account).With("service", d.Service).With("release", d.Release).With("upstream", d.Upstream).
 		With("attempts", d.Attempts).With("took_ms", took.Milliseconds()).With("left_ms", d.Left.Milliseconds()).
-		With("expected_ms", d.Expected.Milliseconds())
+		With("expected_ms", d.Expected.Milliseconds()).With("object", r.Object).With("warm", d.Warm)
 	if d.Reason != steer.ReasonNone {
 		line = line.With("reason", d.Reason).With("retry_after_ms", d.RetryAfter.Milliseconds())
 	}
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -195,6 +195,9 @@
 // Expected returns the time that the answer is expected to take.
 func (c *Choice) Expected() time.Duration { return c.trip + c.wait + c.work }
 
+// Warm tells whether the upstream is expected to know the object.
+func (c *Choice) Warm() bool { return c.known }
+
 // Relative returns how long an answer took as if the object had been warm, to
 // compare upstreams whatever they have served before.
 func (c *Choice) Relative(took time.Duration) time.Duration {
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -141,7 +141,9 @@
 	Attempts int
 	Left     time.Duration
 	Expected time.Duration
-	Err      error
+	// Warm tells whether the upstream was expected to know the object.
+	Warm bool
+	Err  error
 }
 
 // Parts is what a Steerer is made of.
--- a/pkg/coordination/steer/work.go
+++ b/pkg/coordination/steer/work.go
@@ -143,7 +143,7 @@
 	defer cancel()
 	w.decision.Attempts++
 	w.decision.Upstream = c.Upstream.Info.ID
-	w.decision.Expected = c.Expected()
+	w.decision.Expected, w.decision.Warm = c.Expected(), c.Warm()
 	w.tried = append(w.tried, c.Upstream)
 	order := Order{Upstream: c.Upstream, Remaining: left, Fresh: w.fresh}
 	if w.account != nil {
