Try routes whose objective is above their timeout; give out the quota's slack as burst

Change: first estimates stay below the timeout, an idle slot is used whatever is expected; quotas divide by figures that all hosts have, count silent hosts, grow in steps, and give 65 % of the bound's slack out as burst. Tests seen failing first: TestRouteWithObjectiveAboveTimeoutIsTried, TestRestartGivesNoSecondBurst (498 of 416), TestSlowUpstreamIsPassedOver (26 of 80).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,7 +105,7 @@
 	e.splits = release.NewSplits()
 	e.recorder = release.NewRecorder(e.splits)
 	e.placer = place.New(s.Region, s.FailureDomain)
-	e.shares = quota.New(now)
+	e.shares = quota.New(quota.Bound{Window: s.Bounds.QuotaWindow, Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack}, now)
 	e.roster = roster.New(self)
 	e.pool = http1.NewPool(http1.NewDialer(dialTimeout), c)
 	e.store = platform.NewStore(s.Store, &http.Transport{
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -12,6 +12,7 @@
 	"celerypin.example/celerypin/pkg/coordination/rollout"
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/mirror"
 	"celerypin.example/celerypin/pkg/state/table"
@@ -138,7 +139,7 @@
 
 func (k *keeper) takeOperatorRow(row mirror.Row, now clock.Instant) {
 	if platform.IsDesired(row.Key) {
-		k.takeDesired(row)
+		k.takeDesired(row, now)
 		return
 	}
 	if domain, ok := platform.Evacuated(row.Key); ok {
@@ -159,7 +160,7 @@
 	}
 }
 
-func (k *keeper) takeDesired(row mirror.Row) {
+func (k *keeper) takeDesired(row mirror.Row, now clock.Instant) {
 	if row.Deleted {
 		k.log.Warn("The desired state was deleted; the last one stays in force.")
 		return
@@ -172,6 +173,8 @@
 	if current := *k.edge.state.Load(); current != nil && next.Version <= current.Version {
 		return
 	}
+	// Quotas are in force before the accounts that they bind.
+	k.divideQuotas(next, now)
 	k.edge.state.Store(next)
 	k.fleet.changed = true
 	k.log.With("state_version", next.Version).With("version", row.Version).With("routes", len(next.Routes)).Info("Desired state in force.")
@@ -297,15 +300,18 @@
 
 // stepShares divides the quotas by the demand of all hosts.
 func (k *keeper) stepShares(now clock.Instant) {
-	state := *k.edge.state.Load()
-	if state == nil {
-		return
+	if state := *k.edge.state.Load(); state != nil {
+		k.divideQuotas(state, now)
 	}
+}
+
+func (k *keeper) divideQuotas(state *desired.State, now clock.Instant) {
 	var others []map[id.Account]float64
-	for _, d := range k.edge.roster.Reserved(now) {
+	told := k.edge.roster.Reserved(now)
+	for _, d := range told {
 		others = append(others, d.Demand)
 	}
-	k.edge.shares.Step(state.Accounts, others, now)
+	k.edge.shares.Step(state.Accounts, others, k.edge.roster.Silent(told), now)
 }
 
 // Received implements the events of the mesh.
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -188,8 +188,11 @@
 	object   uint64
 	timing   *timing
 	known    bool
-	// wait is the expected time in the upstream's queue, trip that of the network.
+	// wait is the expected time in the upstream's queue, trip that of the network,
+	// work that of the request itself; wait and work include slow.
 	wait, trip, work time.Duration
+	// slow is how many times longer the upstream takes than others.
+	slow float64
 }
 
 // Expected returns the time that the answer is expected to take.
@@ -214,9 +217,11 @@
 func (c *Choice) Served(took time.Duration, now clock.Instant) {
 	work := max(took-c.wait-c.trip, time.Millisecond)
 	if !c.Upstream.Cold(now) {
-		c.timing.observe(c.known, work)
+		c.timing.observe(c.known, time.Duration(float64(work)/max(c.slow, 1)))
 	}
-	c.Upstream.Serve(c.object, took, c.Expected(), now)
+	// What is learned of the upstream is compared with what others would take.
+	usual := c.trip + time.Duration(float64(c.wait+c.work)/c.slow)
+	c.Upstream.Serve(c.object, took, usual, now)
 }
 
 const (
@@ -233,6 +238,9 @@
 	// coldPenalty weighs the work of a cold start beyond the request's own wait:
 	// it takes a place in the upstream's memory and time of its slots.
 	coldPenalty = 0.5
+	// coldAhead is the part of the requests ahead in a queue that are taken to be
+	// about cold objects.
+	coldAhead = 0.2
 	// coldUpstreamFactor is how much longer a cold upstream takes.
 	coldUpstreamFactor = 2.0
 )
@@ -246,7 +254,7 @@
 	s.spread.step(s.goal, now)
 	g := s.releases[a.Release]
 	object := objectHash(a)
-	t := p.timings.of(a.Service, a.Route.Name, a.Route.Objective)
+	t := p.timings.of(a.Service, a.Route)
 	order := p.regions(s, g, a, object, now)
 	if len(order) == 0 {
 		return nil, Absent
@@ -338,33 +346,49 @@
 
 // best returns the upstream that is expected to answer first, of those that
 // come first in the order of ownership. An upstream that is cold is only taken
-// within its bound.
+// within its bound. If none is expected to answer in time, one with a free slot
+// is taken all the same: expectations may be wrong, and the slot is idle.
 func (p *Placer) best(list []*Upstream, a *Ask, object uint64, t *timing, now clock.Instant) *Choice {
-	ranked := rank(list, a, object, now)
-	var best *Choice
-	bestCost := math.Inf(1)
-	for i, u := range ranked {
+	var best, idle *Choice
+	bestCost, idleCost := math.Inf(1), math.Inf(1)
+	penalty := 0.0
+	for i, u := range rank(list, a, object, now) {
 		if i >= candidates && best != nil {
 			break
 		}
-		c, cost, ok := p.weigh(u, a, object, t, i == 0, now)
-		if !ok || cost >= bestCost {
-			continue
+		c, cost := p.weigh(u, a, object, t, penalty, now)
+		if i == 0 {
+			// A slow owner is no reason to keep others from learning the object.
+			penalty = coldPenalty / max(u.slow(now), 1)
+		}
+		switch {
+		case c == nil:
+		case c.Expected() <= a.Left && cost < bestCost:
+			best, bestCost = c, cost
+		case c.Expected() > a.Left && c.wait == 0 && cost < idleCost:
+			idle, idleCost = c, cost
 		}
-		best, bestCost = c, cost
 	}
-	if best != nil && best.Upstream.Cold(now) && !best.Upstream.cold.Take(now) {
-		return p.best(slices.DeleteFunc(slices.Clone(list), func(u *Upstream) bool { return u.knowledge == best.Upstream.knowledge }), a, object, t, now)
+	if best == nil {
+		best = idle
+	}
+	if best == nil || !best.Upstream.Cold(now) || best.Upstream.cold.Take(now) {
+		return best
 	}
-	return best
+	return p.best(without(list, best.Upstream), a, object, t, now)
 }
 
-// weigh estimates what a request costs at an upstream.
-func (p *Placer) weigh(u *Upstream, a *Ask, object uint64, t *timing, owner bool, now clock.Instant) (*Choice, float64, bool) {
+func without(list []*Upstream, u *Upstream) []*Upstream {
+	return slices.DeleteFunc(slices.Clone(list), func(other *Upstream) bool { return other.knowledge == u.knowledge })
+}
+
+// weigh estimates what a request costs at an upstream, or returns nil if that
+// can take no more.
+func (p *Placer) weigh(u *Upstream, a *Ask, object uint64, t *timing, penalty float64, now clock.Instant) (*Choice, float64) {
 	slots := float64(u.Info.Slots)
 	load := u.Load(now)
 	if load >= slots*queueDepth {
-		return nil, 0, false
+		return nil, 0
 	}
 	known := u.Knows(object)
 	warm, cold := float64(t.warm.Load()), float64(t.cold.Load())
@@ -376,22 +400,18 @@
 	if u.Cold(now) {
 		slow = max(slow, coldUpstreamFactor)
 	}
-	// The requests ahead are mostly warm ones.
-	wait := max(load+1-slots, 0) / slots * (warm + (cold-warm)*0.2) * slow
+	wait := max(load+1-slots, 0) / slots * (warm + (cold-warm)*coldAhead) * slow
 	work *= slow
 	trip := p.trip(u)
 	c := &Choice{
 		Upstream: u, object: object, timing: t, known: known,
-		wait: time.Duration(wait), trip: trip, work: time.Duration(work),
-	}
-	if c.Expected() > a.Left {
-		return nil, 0, false
+		wait: time.Duration(wait), trip: trip, work: time.Duration(work), slow: slow,
 	}
 	cost := wait + work + float64(trip)
-	if !known && !owner {
-		cost += coldPenalty * cold
+	if !known {
+		cost += penalty * cold
 	}
-	return c, cost, true
+	return c, cost
 }
 
 func (p *Placer) trip(u *Upstream) time.Duration {
--- /dev/null
+++ b/pkg/coordination/place/placer_test.go
@@ -0,0 +1,177 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+const (
+	service = id.Service("viewer")
+	current = id.Release("v1")
+)
+
+// upstreams returns n live upstreams in each failure domain, of four slots each.
+func upstreams(n int, domains ...id.FailureDomain) []Listing {
+	var out []Listing
+	for _, d := range domains {
+		for i := range n {
+			out = append(out, Listing{Info: fleet.Upstream{
+				ID: id.Upstream(fmt.Sprintf("%s-%d", d, i)), Service: service, Release: current, Region: id.Region(d[:1]),
+				FailureDomain: d, Address: fmt.Sprintf("%s-%d:80", d, i), Slots: 4, State: fleet.UpstreamLive,
+			}})
+		}
+	}
+	return out
+}
+
+func lookup() *desired.Route {
+	return &desired.Route{Name: "lookup", Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, MaxAttempts: 2}
+}
+
+func newPlacer(now clock.Instant, list []Listing) *Placer {
+	p := New("a", "a1")
+	p.Update(list, map[id.Region]float64{"a": 0.5, "b": 0.5}, now)
+	return p
+}
+
+func ask(object id.Object) *Ask {
+	return &Ask{Service: service, Release: current, Route: lookup(), Object: object, Left: 800 * time.Millisecond}
+}
+
+func TestRouteWithObjectiveAboveTimeoutIsTried(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(2, "a1"))
+	a := ask("x")
+	a.Route.Objective = 2 * time.Second
+	if _, got := p.Choose(a, now); got != Chosen {
+		t.Errorf("got verdict %v, want %v", got, Chosen)
+	}
+}
+
+func TestHostsAgreeOnTheOwner(t *testing.T) {
+	now := clock.NewFake().Now()
+	list := upstreams(4, "a1", "a2")
+	first, second := newPlacer(now, list), newPlacer(now, list)
+	for i := range 50 {
+		object := id.Object(fmt.Sprint(i))
+		a, _ := first.Choose(ask(object), now)
+		b, _ := second.Choose(ask(object), now)
+		if got, want := b.Upstream.Info.ID, a.Upstream.Info.ID; got != want {
+			t.Errorf("object %s: got owner %s, want %s", object, got, want)
+		}
+		a.Done()
+		b.Done()
+	}
+}
+
+func TestJoinMovesFewObjects(t *testing.T) {
+	now := clock.NewFake().Now()
+	list := upstreams(8, "a1")
+	before, after := newPlacer(now, list[:7]), newPlacer(now, list)
+	moved := 0
+	const objects = 400
+	for i := range objects {
+		object := id.Object(fmt.Sprint(i))
+		a, _ := before.Choose(ask(object), now)
+		b, _ := after.Choose(ask(object), now)
+		if a.Upstream.Info.ID != b.Upstream.Info.ID {
+			moved++
+			if got, want := b.Upstream.Info.ID, list[7].Info.ID; got != want {
+				t.Errorf("object %s moved to %s, want only moves to %s", object, got, want)
+			}
+		}
+		a.Done()
+		b.Done()
+	}
+	if want := objects / 8 * 2; moved > want {
+		t.Errorf("got %d objects moved, want at most %d", moved, want)
+	}
+}
+
+func TestFullOwnerPassesToTheNext(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(2, "a1"))
+	seen := map[id.Upstream]int{}
+	for range 16 {
+		if c, got := p.Choose(ask("hot"), now); got == Chosen {
+			seen[c.Upstream.Info.ID]++
+		}
+	}
+	if got, want := len(seen), 2; got != want {
+		t.Errorf("got %d upstreams for a hot object, want %d: %v", got, want, seen)
+	}
+}
+
+func TestHomesBindWhenTheirUpstreamsAreFull(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(1, "a1", "b1"))
+	a := ask("x")
+	a.Homes, a.HasHomes = []id.Region{"b"}, true
+	for range 40 {
+		c, verdict := p.Choose(a, now)
+		if verdict == Chosen && c.Upstream.Info.Region != "b" {
+			t.Fatalf("got region %s, want b", c.Upstream.Info.Region)
+		}
+	}
+}
+
+func TestColdUpstreamStaysWithinItsBound(t *testing.T) {
+	c := clock.NewFake()
+	list := upstreams(1, "a1")
+	list[0].ColdUntil, list[0].ColdPerSecond = c.Now().Add(3*time.Second), 2
+	p := newPlacer(c.Now(), list)
+	got := 0
+	for range 100 {
+		if choice, verdict := p.Choose(ask("x"), c.Now()); verdict == Chosen {
+			got++
+			choice.Done()
+		}
+		c.Advance(20 * time.Millisecond)
+	}
+	if want := 5; got > want || got == 0 {
+		t.Errorf("got %d requests in two seconds, want between 1 and %d", got, want)
+	}
+}
+
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(1, "a1"))
+	p.Upstreams()[0].Leave()
+	if _, got := p.Choose(ask("x"), now); got != Absent {
+		t.Errorf("got verdict %v, want %v", got, Absent)
+	}
+}
+
+// TestSlowUpstreamIsPassedOver has one of two upstreams take five times as long.
+func TestSlowUpstreamIsPassedOver(t *testing.T) {
+	c := clock.NewFake()
+	p := newPlacer(c.Now(), upstreams(2, "a1"))
+	slow := p.Upstreams()[0].Info.ID
+	got := 0
+	for i := range 100 {
+		choice, verdict := p.Choose(ask(id.Object(fmt.Sprint(i%10))), c.Now())
+		if verdict != Chosen {
+			t.Fatalf("got verdict %v, want %v", verdict, Chosen)
+		}
+		took := 480 * time.Millisecond
+		if choice.Warm() {
+			took = 144 * time.Millisecond
+		}
+		if choice.Upstream.Info.ID == slow && i >= 20 {
+			got++
+			took *= 5
+		}
+		choice.Done()
+		c.Advance(20 * time.Millisecond)
+		choice.Served(took, c.Now())
+	}
+	if want := 15; got > want {
+		t.Errorf("got %d of 80 requests at the slow upstream, want at most %d", got, want)
+	}
+}
--- a/pkg/coordination/place/timing.go
+++ b/pkg/coordination/place/timing.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/rcu"
 )
@@ -16,14 +17,28 @@
 
 const (
 	// firstWarm and firstCold are the times assumed before any request was seen,
-	// as parts of the latency objective.
-	firstWarm, firstCold = 0.5, 1.6
+	// as parts of the latency objective, but not above parts of the route's timeout:
+	// a route that seems to have no time would never be tried, and never be learned.
+	firstWarm, firstCold                   = 0.5, 1.6
+	firstWarmOfTimeout, firstColdOfTimeout = 0.2, 0.6
 	// timingWeight is the weight of one observation, as one over timingWeight.
 	timingWeight = 16
 	// timingMost bounds one observation by a multiple of what is known.
 	timingMost = 3
 )
 
+func newTiming(r *desired.Route) *timing {
+	warm, cold := firstWarm*float64(r.Objective), firstCold*float64(r.Objective)
+	if r.Timeout > 0 {
+		warm = min(warm, firstWarmOfTimeout*float64(r.Timeout))
+		cold = min(cold, firstColdOfTimeout*float64(r.Timeout))
+	}
+	t := &timing{}
+	t.warm.Store(int64(warm))
+	t.cold.Store(int64(cold))
+	return t
+}
+
 func (t *timing) observe(warm bool, took time.Duration) {
 	cell := &t.cold
 	if warm {
@@ -49,8 +64,8 @@
 
 func newTimings() *timings { return &timings{rcu.New(map[timingKey]*timing{})} }
 
-func (t *timings) of(service id.Service, route id.Route, objective time.Duration) *timing {
-	key := timingKey{service, route}
+func (t *timings) of(service id.Service, r *desired.Route) *timing {
+	key := timingKey{service, r.Name}
 	if known := (*t.cell.Load())[key]; known != nil {
 		return known
 	}
@@ -59,10 +74,7 @@
 			return old
 		}
 		next := maps.Clone(old)
-		fresh := &timing{}
-		fresh.warm.Store(int64(firstWarm * float64(objective)))
-		fresh.cold.Store(int64(firstCold * float64(objective)))
-		next[key] = fresh
+		next[key] = newTiming(r)
 		return next
 	})
 	return (*t.cell.Load())[key]
--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -59,7 +59,7 @@
 	slownessWeight = 4
 	// slownessFade is the time in which half of the slowness is forgotten, so that
 	// a slow upstream is tried again.
-	slownessFade = 2 * time.Second
+	slownessFade = 5 * time.Second
 	// othersFade is the time after which a load report says nothing.
 	othersFade = 1500 * time.Millisecond
 )
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -26,14 +26,31 @@
 	// firstSpan is the part of a second's rate that a new bucket holds. It is
 	// small, because hosts that restart together must not get their bursts twice.
 	firstSpan = 0.3
-	// burstPart keeps a part of the burst back, for what hosts spend while their
-	// views of the demand differ.
-	burstPart = 0.85
+	// growth is the part of the way to a larger share that one step goes; others
+	// may not have heard yet that theirs are smaller.
+	growth = 0.4
+	// slackPart is the part of the slack of the bound that is given out as burst;
+	// the rest is for what hosts spend while their views of the demand differ.
+	slackPart = 0.65
 )
 
+// Bound tells how strictly quotas are judged: in each window an account may
+// have its rate and burst, a part more, and a number of requests more.
+type Bound struct {
+	Window time.Duration
+	Excess float64
+	Slack  float64
+}
+
+// extra returns the requests beyond rate and burst that an account may have.
+func (b Bound) extra(a *desired.Account) float64 {
+	return slackPart * (b.Excess*(a.Rate*b.Window.Seconds()+a.Burst) + b.Slack)
+}
+
 // Shares holds this host's part of each account's quota. Requests read one
 // snapshot and take no lock.
 type Shares struct {
+	bound     Bound
 	accounts  *rcu.Cell[map[id.Account]*share]
 	steppedAt clock.Instant
 }
@@ -48,19 +65,23 @@
 	demand atomic.Uint64
 	// bound tells whether the account has a quota.
 	bound atomic.Bool
-	part  budget.Share[unit.Tokens]
+	// told is the demand that the other hosts have been told last.
+	told atomic.Uint64
+	// part is this host's part of the quota; only Step uses it.
+	part float64
+	set  budget.Share[unit.Tokens]
 }
 
 // New returns shares of no account.
-func New(now clock.Instant) *Shares {
-	return &Shares{accounts: rcu.New(map[id.Account]*share{}), steppedAt: now}
+func New(bound Bound, now clock.Instant) *Shares {
+	return &Shares{bound: bound, accounts: rcu.New(map[id.Account]*share{}), steppedAt: now}
 }
 
 // Take admits a request of an account, or returns how long to wait.
 func (s *Shares) Take(account id.Account, now clock.Instant) (ok bool, wait time.Duration) {
 	sh := (*s.accounts.Load())[account]
 	if sh == nil {
-		return true, 0
+		return false, unknownWait
 	}
 	sh.asked.Add(1)
 	if !sh.bound.Load() || sh.bucket.Spend(unit.Token, now) {
@@ -70,13 +91,18 @@
 	return false, time.Duration(float64(time.Second) / rate)
 }
 
+// unknownWait is when to come back if the account is not known here yet.
+const unknownWait = 250 * time.Millisecond
+
 // leastRate bounds the wait that a refusal names, in requests a second.
 const leastRate = 0.5
 
-// Demand returns the requests a second of each account that reach this host.
+// Demand returns the requests a second of each account that reach this host, to
+// be told to the other hosts.
 func (s *Shares) Demand() map[id.Account]float64 {
 	out := map[id.Account]float64{}
 	for account, sh := range *s.accounts.Load() {
+		sh.told.Store(sh.demand.Load())
 		if d := math.Float64frombits(sh.demand.Load()); d > 0.05 {
 			out[account] = d
 		}
@@ -87,29 +113,29 @@
 // Requests returns the requests a second of all accounts.
 func (s *Shares) Requests() float64 {
 	sum := 0.0
-	for _, d := range s.Demand() {
-		sum += d
+	for _, sh := range *s.accounts.Load() {
+		sum += math.Float64frombits(sh.demand.Load())
 	}
 	return sum
 }
 
-// Step measures demand and sets the shares anew, given the accounts and what
-// the other hosts that may serve have told of their demand. Only one goroutine
-// may call it.
-func (s *Shares) Step(accounts []*desired.Account, others []map[id.Account]float64, now clock.Instant) {
+// Step measures demand and sets the shares anew, given the accounts, what the
+// other hosts that may serve have told of their demand, and how many hosts have
+// told nothing yet. Only one goroutine may call it.
+func (s *Shares) Step(accounts []*desired.Account, others []map[id.Account]float64, silent int, now clock.Instant) {
+	s.add(accounts, len(others)+silent, now)
 	elapsed := now.Sub(s.steppedAt)
 	if elapsed <= 0 {
 		return
 	}
 	s.steppedAt = now
-	s.add(accounts, len(others), now)
 	current := *s.accounts.Load()
 	for _, a := range accounts {
 		sh := current[a.ID]
 		sh.measure(elapsed)
 		sh.bound.Store(a.Rate > 0)
 		if a.Rate > 0 {
-			sh.set(divide(a, sh, others), now)
+			sh.replace(s.divide(a, sh, others, silent), now)
 		}
 	}
 }
@@ -145,28 +171,38 @@
 	sh.demand.Store(math.Float64bits(old + (rate-old)*weight))
 }
 
-// divide returns this host's part of an account's quota.
-func divide(a *desired.Account, sh *share, others []map[id.Account]float64) budget.Share[unit.Tokens] {
-	own := math.Float64frombits(sh.demand.Load())
-	all := own
+// divide returns this host's part of an account's quota. Own demand counts as
+// the others have been told it, so that all divide by the same figures. A host
+// that has told nothing is taken to have as much demand as this one.
+func (s *Shares) divide(a *desired.Account, sh *share, others []map[id.Account]float64, silent int) budget.Share[unit.Tokens] {
+	own := math.Float64frombits(sh.told.Load())
+	all := own * float64(silent+1)
 	for _, d := range others {
 		all += d[a.ID]
 	}
-	even := 1 / float64(len(others)+1)
-	part := even
+	even := 1 / float64(len(others)+silent+1)
+	goal := even
 	if all > 0 {
-		part = evenPart*even + (1-evenPart)*own/all
+		goal = evenPart*even + (1-evenPart)*own/all
+	}
+	if sh.part == 0 {
+		sh.part = even
+	}
+	if goal > sh.part {
+		goal = sh.part + (goal-sh.part)*growth
 	}
-	return budget.Share[unit.Tokens]{Rate: tokens(a.Rate * part), Burst: tokens(max(a.Burst*burstPart*part, 1))}
+	sh.part = goal
+	burst := a.Burst*goal + s.bound.extra(a)*even
+	return budget.Share[unit.Tokens]{Rate: tokens(a.Rate * goal), Burst: tokens(max(burst, 1))}
 }
 
-// set replaces the share if it has changed enough to matter.
-func (sh *share) set(part budget.Share[unit.Tokens], now clock.Instant) {
-	if near(part.Rate, sh.part.Rate) && near(part.Burst, sh.part.Burst) {
+// replace sets the share if it has changed enough to matter.
+func (sh *share) replace(next budget.Share[unit.Tokens], now clock.Instant) {
+	if near(next.Rate, sh.set.Rate) && near(next.Burst, sh.set.Burst) {
 		return
 	}
-	sh.part = part
-	sh.bucket.SetShare(part, now)
+	sh.set = next
+	sh.bucket.SetShare(next, now)
 }
 
 // near tells whether two amounts differ by less than one in fifty.
--- /dev/null
+++ b/pkg/coordination/quota/quota_test.go
@@ -0,0 +1,147 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+var bound = Bound{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+
+const account = id.Account("choir")
+
+// fleet is a few hosts that hear of each other's demand after a lag.
+type fleet struct {
+	clock  *clock.Fake
+	hosts  []*Shares
+	quota  []*desired.Account
+	heard  []map[id.Account]float64
+	admits []time.Duration
+	asked  int
+	since  time.Duration
+}
+
+// step is the interval at which the hosts set their shares.
+const step = 250 * time.Millisecond
+
+func newFleet(hosts int, rate, burst float64) *fleet {
+	f := &fleet{clock: clock.NewFake(), quota: []*desired.Account{{ID: account, Rate: rate, Burst: burst}}}
+	for range hosts {
+		f.hosts = append(f.hosts, New(bound, f.clock.Now()))
+		f.heard = append(f.heard, nil)
+	}
+	return f
+}
+
+// run lets requests come at a rate to each host, with the others' demand heard
+// one step late.
+func (f *fleet) run(d time.Duration, perSecond []float64) {
+	const tick = 10 * time.Millisecond
+	due := make([]float64, len(f.hosts))
+	for end := f.since + d; f.since < end; f.since += tick {
+		if f.since%step == 0 {
+			f.share()
+		}
+		for i, h := range f.hosts {
+			for due[i] += perSecond[i] * tick.Seconds(); due[i] >= 1; due[i]-- {
+				f.asked++
+				if ok, _ := h.Take(account, f.clock.Now()); ok {
+					f.admits = append(f.admits, f.since)
+				}
+			}
+		}
+		f.clock.Advance(tick)
+	}
+}
+
+func (f *fleet) share() {
+	for i, h := range f.hosts {
+		var others []map[id.Account]float64
+		silent := 0
+		for j := range f.hosts {
+			switch {
+			case j == i:
+			case f.heard[j] == nil:
+				silent++
+			default:
+				others = append(others, f.heard[j])
+			}
+		}
+		h.Step(f.quota, others, silent, f.clock.Now())
+	}
+	for i, h := range f.hosts {
+		f.heard[i] = h.Demand()
+	}
+}
+
+// most returns the most requests admitted in any window.
+func (f *fleet) most() int {
+	most, first := 0, 0
+	for i, at := range f.admits {
+		for f.admits[first] <= at-bound.Window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (f *fleet) allowed() int {
+	a := f.quota[0]
+	return int((a.Rate*bound.Window.Seconds()+a.Burst)*(1+bound.Excess) + bound.Slack)
+}
+
+// TestHotAccountStaysWithinItsQuota lets an account send several times its
+// usual to hosts that change at random.
+func TestHotAccountStaysWithinItsQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
+		rate := rapid.Float64Range(2, 200).Draw(t, "rate")
+		f := newFleet(hosts, rate, rate)
+		for range rapid.IntRange(1, 4).Draw(t, "spells") {
+			load := make([]float64, hosts)
+			for i := range load {
+				load[i] = rapid.Float64Range(0, 8*rate/float64(hosts)).Draw(t, "load")
+			}
+			f.run(4*time.Second, load)
+		}
+		if got, want := f.most(), f.allowed(); got > want {
+			t.Fatalf("got %d requests in a window, want at most %d", got, want)
+		}
+	})
+}
+
+// TestSmallAccountOverManyHostsIsServed lets an account with a few requests a
+// second reach all hosts, each of which has a small part of its quota.
+func TestSmallAccountOverManyHostsIsServed(t *testing.T) {
+	f := newFleet(11, 8, 8)
+	load := make([]float64, 11)
+	for i := range load {
+		load[i] = 5.0 / 11
+	}
+	f.run(30*time.Second, load)
+	refused := f.asked - len(f.admits)
+	if want := f.asked / 50; refused > want {
+		t.Errorf("got %d of %d refused, want at most %d", refused, f.asked, want)
+	}
+}
+
+// TestRestartGivesNoSecondBurst restarts all hosts at once under a hot account.
+func TestRestartGivesNoSecondBurst(t *testing.T) {
+	f := newFleet(6, 60, 60)
+	load := []float64{80, 80, 80, 80, 80, 80}
+	f.run(6*time.Second, load)
+	for i := range f.hosts {
+		f.hosts[i] = New(bound, f.clock.Now())
+		f.heard[i] = nil
+	}
+	f.run(6*time.Second, load)
+	if got, want := f.most(), f.allowed(); got > want {
+		t.Errorf("got %d requests in a window, want at most %d", got, want)
+	}
+}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -124,6 +124,29 @@
 	return out
 }
 
+// Silent returns how many hosts may serve that are not among those that told
+// something. While none are known there may be several.
+func (r *Roster) Silent(told []Digest) int {
+	heard := map[id.Host]bool{}
+	for _, d := range told {
+		heard[d.Host.ID] = true
+	}
+	listed := r.Listed()
+	if len(listed)+len(told) == 0 {
+		return unknownHosts
+	}
+	silent := 0
+	for _, m := range listed {
+		if !heard[m.ID] {
+			silent++
+		}
+	}
+	return silent
+}
+
+// unknownHosts is how many other hosts there are taken to be before any is known.
+const unknownHosts = 8
+
 // SendersIn returns how many hosts of a region may send requests: this one,
 // those that are listed, and those that were heard lately.
 func (r *Roster) SendersIn(region id.Region, now clock.Instant) int {
