Compare the owner of an object with the next in line only

Cause: under load each object was run by up to four upstreams; with 51 objects a region that is more than upstreams keep warm, so everything stayed cold for ten seconds. Change: two candidates in place of four; a cold start at another upstream weighs a whole cold run more, in place of half of one. The line of a quota refusal names the share.

--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -70,6 +70,9 @@
 	if d.Reason != steer.ReasonNone {
 		line = line.With("reason", d.Reason).With("retry_after_ms", d.RetryAfter.Milliseconds())
 	}
+	if d.Fate == steer.OverQuota {
+		line = line.With("share_rate", d.ShareRate).With("share_burst", d.ShareBurst)
+	}
 	if d.Err != nil {
 		line = line.With("error", d.Err.Error())
 	}
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -226,7 +226,7 @@
 
 const (
 	// candidates is how many upstreams in the order of ownership are compared.
-	candidates = 4
+	candidates = 2
 	// queueDepth bounds the load of an upstream, in multiples of its slots: what
 	// runs and what waits. Upstreams queue a few requests for each slot.
 	queueDepth = 3.0
@@ -237,7 +237,7 @@
 	crossRegionTrip = 60 * time.Millisecond
 	// coldPenalty weighs the work of a cold start beyond the request's own wait:
 	// it takes a place in the upstream's memory and time of its slots.
-	coldPenalty = 0.5
+	coldPenalty = 1.0
 	// coldAhead is the part of the requests ahead in a queue that are taken to be
 	// about cold objects.
 	coldAhead = 0.2
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -91,6 +91,17 @@
 	return false, time.Duration(float64(time.Second) / rate)
 }
 
+// Share returns this host's part of an account's rate and burst, in requests a
+// second and requests.
+func (s *Shares) Share(account id.Account) (rate, burst float64) {
+	sh := (*s.accounts.Load())[account]
+	if sh == nil {
+		return 0, 0
+	}
+	part := sh.bucket.Share()
+	return float64(part.Rate) / float64(unit.Token), float64(part.Burst) / float64(unit.Token)
+}
+
 // unknownWait is when to come back if the account is not known here yet.
 const unknownWait = 250 * time.Millisecond
 
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -143,7 +143,10 @@
 	Expected time.Duration
 	// Warm tells whether the upstream was expected to know the object.
 	Warm bool
-	Err  error
+	// ShareRate and ShareBurst are this host's part of the account's quota, if
+	// that decided.
+	ShareRate, ShareBurst float64
+	Err                   error
 }
 
 // Parts is what a Steerer is made of.
@@ -200,6 +203,7 @@
 		d.Account = account.ID
 		if ok, wait := s.Shares.Take(account.ID, s.Clock.Now()); !ok {
 			d.Fate, d.Reason, d.RetryAfter = OverQuota, ReasonQuota, spread(wait)
+			d.ShareRate, d.ShareBurst = s.Shares.Share(account.ID)
 			return d
 		}
 	}
