Tell a bad release by answers that fail, not by time-outs

Change: only an upstream's own failure counts as failed, what takes too long counts as slow; a release that fails a tenth gets no larger share, whatever the old one shows. No release is approved before the orders and what was agreed about them are known.

--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -122,6 +122,12 @@
 	return table.Reset(rows, version), nil
 }
 
+// known tells whether a table was read, or came whole from another host.
+func (c *copies) known(name platform.Table) bool {
+	table := c.tables[name]
+	return table.listed.Load() || table.Version() > 0
+}
+
 // note logs when the store is lost and regained.
 func (c *copies) note(name platform.Table, table *copied, err error) {
 	if err != nil {
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -457,7 +457,9 @@
 // of most upstreams while nothing was agreed.
 func (k *keeper) approve() {
 	state := *k.edge.state.Load()
-	if state == nil {
+	// Without the orders and what was agreed about them, a release that is not
+	// approved could be taken for the approved one.
+	if state == nil || !k.edge.copies.known(platform.Operator) || !k.edge.copies.known(platform.Own) {
 		return
 	}
 	next := map[id.Service]id.Release{}
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -73,10 +73,13 @@
 		e.Result = steer.Shed
 	case !head.Authentic:
 		e.Result, e.Err = steer.Lost, errUnauthentic
+	case a.Status == http.StatusGatewayTimeout:
+		e.Result = steer.AnsweredLate
 	case a.Status >= http.StatusInternalServerError:
 		e.Result = steer.AnsweredBad
 	}
-	if e.Result != steer.Answered && e.Result != steer.AnsweredBad && a.Rest != nil {
+	passedOn := e.Result == steer.Answered || e.Result == steer.AnsweredBad || e.Result == steer.AnsweredLate
+	if !passedOn && a.Rest != nil {
 		a.Rest.Close()
 	}
 	return e
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -58,6 +58,9 @@
 	leastSeen = 25
 	// patience is how many times longer a step may wait for them.
 	patience = 2.5
+	// holdPart is the part of failed requests from which a release gets no larger
+	// share, whatever the old one shows.
+	holdPart = 0.1
 	// exposureMargin keeps the observed share below the bound.
 	exposureMargin = 0.9
 )
@@ -191,6 +194,9 @@
 	if r.Step >= observed && k.tally.requests(o.Service, r.Change.New) < leastSeen && lasted < time.Duration(patience*float64(stepTime)) {
 		return Write{}, false
 	}
+	if r.Step >= observed && k.tally.failing(o.Service, r.Change.New) > holdPart {
+		return Write{}, false
+	}
 	if r.Step++; r.Step >= len(steps) {
 		r.Step = len(steps) - 1
 		r.Change.State, r.Current = table.ReleaseDone, r.Change.New
--- /dev/null
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -0,0 +1,129 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+	"celerypin.example/celerypin/pkg/state/table"
+)
+
+// behaviour is how a release answers, as parts of its requests.
+type behaviour struct {
+	failed, slow float64
+	// from is when it begins to behave so; before it is good.
+	from time.Duration
+	// aboveShare lets it behave so only while its share is higher.
+	aboveShare table.Milli
+}
+
+// rollouts plays one rollout: requests come at a rate, are divided by the
+// agreed share, and the keeper's writes take effect at once.
+type rollouts struct {
+	keeper  *Keeper
+	clock   *clock.Fake
+	order   Order
+	records map[id.Service]Record
+	counts  map[release.Subject]release.Counts
+	random  *rand.Rand
+	all     int
+	exposed int
+}
+
+func newRollouts(seed uint64) *rollouts {
+	return &rollouts{
+		keeper: New(0.1), clock: clock.NewFake(), random: rand.New(rand.NewPCG(seed, 1)),
+		order:   Order{Service: "viewer", To: "v2", Within: 15 * time.Second, Version: 7},
+		records: map[id.Service]Record{}, counts: map[release.Subject]release.Counts{},
+	}
+}
+
+const tick = 100 * time.Millisecond
+
+// run plays the time of the order with requests a second.
+func (r *rollouts) run(perSecond int, old, next behaviour) table.ReleaseState {
+	for since := time.Duration(0); since < r.order.Within; since += tick {
+		share := r.records["viewer"].Change.Share
+		for range perSecond / 10 {
+			r.all++
+			if table.Milli(r.random.IntN(1000)) < share {
+				r.exposed++
+				r.count("v2", next, since, share)
+				continue
+			}
+			r.count("v1", old, since, share)
+		}
+		r.keeper.Hear("host", 1, r.counts)
+		for _, w := range r.keeper.Step(r.input(), r.clock.Now()) {
+			w.Record.Version++
+			r.records["viewer"] = w.Record
+		}
+		r.clock.Advance(tick)
+	}
+	return r.records["viewer"].Change.State
+}
+
+func (r *rollouts) input() Input {
+	return Input{
+		Orders: []Order{r.order}, Records: r.records, Leads: true,
+		Releases: func(id.Service) map[id.Release]int { return map[id.Release]int{"v1": 9, "v2": 9} },
+	}
+}
+
+func (r *rollouts) count(name id.Release, b behaviour, since time.Duration, share table.Milli) {
+	subject := release.Subject{Service: "viewer", Release: name, Route: "lookup"}
+	c := release.Counts{Requests: 1}
+	if since >= b.from && share >= b.aboveShare {
+		switch p := r.random.Float64(); {
+		case p < b.failed:
+			c.Failed = 1
+		case p < b.failed+b.slow:
+			c.Slow = 1
+		}
+	}
+	r.counts[subject] = r.counts[subject].Add(c)
+}
+
+func TestRollouts(t *testing.T) {
+	cases := []struct {
+		name      string
+		old, next behaviour
+		want      table.ReleaseState
+	}{
+		{"good release", behaviour{failed: 0.001}, behaviour{failed: 0.001}, table.ReleaseDone},
+		{"good release under overload", behaviour{slow: 0.35}, behaviour{slow: 0.35}, table.ReleaseDone},
+		{"half of the answers fail", behaviour{}, behaviour{failed: 0.5}, table.ReleaseRetreated},
+		{"half of the answers fail while the old release times out", behaviour{slow: 0.37}, behaviour{failed: 0.5, slow: 0.2}, table.ReleaseRetreated},
+		{"fails after three seconds", behaviour{}, behaviour{failed: 0.5, from: 3 * time.Second}, table.ReleaseRetreated},
+		{"slow from the start", behaviour{slow: 0.02}, behaviour{slow: 0.5}, table.ReleaseRetreated},
+		{"fails under load only", behaviour{}, behaviour{failed: 0.5, aboveShare: 250}, table.ReleaseRetreated},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				r := newRollouts(seed)
+				if got := r.run(250, c.old, c.next); got != c.want {
+					t.Errorf("seed %d: got %s, want %s", seed, got, c.want)
+				}
+				if limit := r.all/10 + 50; c.want == table.ReleaseRetreated && r.exposed > limit {
+					t.Errorf("seed %d: got %d of %d requests at the bad release, want at most %d", seed, r.exposed, r.all, limit)
+				}
+			}
+		})
+	}
+}
+
+func TestBeginWaitsForTheOldRelease(t *testing.T) {
+	k := New(0.1)
+	in := Input{
+		Orders: []Order{{Service: "viewer", To: "v2", Within: time.Second, Version: mirror.Version(3)}}, Leads: true,
+		Releases: func(id.Service) map[id.Release]int { return nil },
+	}
+	if got := k.Step(in, clock.NewFake().Now()); len(got) != 0 {
+		t.Errorf("got %d writes without any upstream, want none", len(got))
+	}
+}
--- a/pkg/coordination/rollout/tally.go
+++ b/pkg/coordination/rollout/tally.go
@@ -54,3 +54,18 @@
 	}
 	return sum
 }
+
+// failing returns the part of a release's requests that failed, on the route
+// where it is the highest.
+func (t *tally) failing(service id.Service, r id.Release) float64 {
+	most := 0.0
+	for subject, c := range t.sums {
+		if subject.Service == service && subject.Release == r && c.Requests >= leastJudged {
+			most = max(most, float64(c.Failed)/float64(c.Requests))
+		}
+	}
+	return most
+}
+
+// leastJudged is the number of requests from which a route's failures say something.
+const leastJudged = 10
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -47,6 +47,8 @@
 	Answered Result = iota
 	// AnsweredBad means that it answered with a failure of its own; it ran the request.
 	AnsweredBad
+	// AnsweredLate means that it answered that its time was up; it may have run the request.
+	AnsweredLate
 	// Shed means that the upstream refused the request as full; it has not run it.
 	Shed
 	// Misdirected means that another upstream has the address; nothing has run.
--- a/pkg/coordination/steer/work.go
+++ b/pkg/coordination/steer/work.go
@@ -175,6 +175,7 @@
 	case e.Result == Misdirected:
 		u.Leave()
 		return
+	case e.Result == AnsweredLate:
 	default:
 		u.Fail(now)
 		if e.Result == NotSent {
@@ -185,8 +186,13 @@
 	if u.Cold(now) && e.Result != AnsweredBad {
 		return
 	}
-	failed := e.Result == AnsweredBad || e.Result == Lost
-	w.Recorder.Record(release.Subject{Service: w.service, Release: u.Info.Release, Route: w.route.Name}, c.Relative(took), failed)
+	// Only an answer says that the release failed. What takes too long counts as
+	// slow: under load that happens to any release.
+	latency := c.Relative(took)
+	if e.Result == Lost || e.Result == AnsweredLate {
+		latency = max(latency, w.route.Timeout)
+	}
+	w.Recorder.Record(release.Subject{Service: w.service, Release: u.Info.Release, Route: w.route.Name}, latency, e.Result == AnsweredBad)
 }
 
 // conclude turns an exchange into a decision, or lets another attempt follow.
@@ -205,7 +211,7 @@
 		return w.end(Gone, ReasonClientLeft, 0), true
 	case again:
 		return w.decision, false
-	case e.Result == AnsweredBad:
+	case e.Result == AnsweredBad || e.Result == AnsweredLate:
 		w.decision.Answer = e.Answer
 		return w.end(Delivered, ReasonNone, 0), true
 	case w.deadline.Sub(w.Clock.Now()) < leastUseful:
