Let a few requests overflow into other regions; new quota buckets hold more of the burst

Change: 6 % of a service's requests may run elsewhere when their region is full, under the bound on shifts; regions share by room without a margin; a new bucket holds 0.6 of its burst.

--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -252,6 +252,7 @@
 		return nil, Absent
 	}
 	s.spread.step(s.goal, now)
+	s.spread.overflow.Earn()
 	g := s.releases[a.Release]
 	object := objectHash(a)
 	t := p.timings.of(a.Service, a.Route)
@@ -262,16 +263,12 @@
 	for i, region := range order {
 		c := p.best(g[region], a, object, t, now)
 		if region == p.region {
-			if c == nil || c.wait+c.work > a.Route.Objective {
-				s.spread.tight.Add(1)
-			} else {
-				s.spread.easy.Add(1)
-			}
+			s.spread.count(c == nil || c.wait > a.Route.Objective/4)
 		}
 		if c == nil {
 			continue
 		}
-		if i > 0 && !s.mayMove(p.region, region, g) {
+		if i > 0 && !p.mayMove(s, region, g) {
 			continue
 		}
 		c.Upstream.inFlight.Add(1)
@@ -280,18 +277,14 @@
 	return nil, Full
 }
 
-// mayMove tells whether a request may leave its own region although the spread
-// keeps it there: only if no upstream is left there.
-func (s *pool) mayMove(own, to id.Region, g group) bool {
-	if to == own {
+// mayMove tells whether a request may run in another region than the spread
+// says: if the own region has no upstream left, and else for a few requests,
+// so that what does not fit is served without moving much at once.
+func (p *Placer) mayMove(s *pool, to id.Region, g group) bool {
+	if !hasLive(g[p.region]) || !hasLive(g[to]) {
 		return true
 	}
-	for _, u := range g[own] {
-		if u.Info.State == fleet.UpstreamLive && !u.leaving.Load() {
-			return false
-		}
-	}
-	return true
+	return s.spread.overflow.Take()
 }
 
 // regions returns the regions to try: the one that the object falls to first.
--- a/pkg/coordination/place/spread.go
+++ b/pkg/coordination/place/spread.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/limit"
 	"celerypin.example/celerypin/pkg/state/clock"
 )
 
@@ -15,6 +16,8 @@
 type spread struct {
 	// local is the part as the bits of a float64.
 	local atomic.Uint64
+	// overflow admits requests that run elsewhere because their region is full.
+	overflow *limit.Ratio
 	// tight and easy count the placements since the last step for which the own
 	// region had too little room, and enough.
 	tight, easy atomic.Int64
@@ -28,20 +31,32 @@
 	// spreadStep is the interval at which the part changes.
 	spreadStep = 250 * time.Millisecond
 	// spreadMargin lets a region carry somewhat more than its part of the room.
-	spreadMargin = 1.3
+	spreadMargin = 1.0
 	// spreadRate is the most that the part changes in a second; two seconds of it
 	// stay below half of the bound on moved requests, which leaves room for chance.
 	spreadRate = 0.03
+	// overflowPart and overflowReserve bound the requests that do not fit: a part
+	// of all, and a few at once.
+	overflowPart, overflowReserve = 0.06, 4
 	// tightPart is the part of placements that must lack room before more leave.
 	tightPart = 0.15
 )
 
 func newSpread() *spread {
-	s := &spread{}
+	s := &spread{overflow: limit.NewRatio(overflowPart, overflowReserve)}
 	s.store(1)
 	return s
 }
 
+// count counts a placement for which the own region lacked room, or had it.
+func (s *spread) count(tight bool) {
+	if tight {
+		s.tight.Add(1)
+		return
+	}
+	s.easy.Add(1)
+}
+
 func (s *spread) load() float64 { return math.Float64frombits(s.local.Load()) }
 
 func (s *spread) store(part float64) { s.local.Store(math.Float64bits(part)) }
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -23,9 +23,9 @@
 	// evenPart is the part of a quota that is divided evenly, so that a host
 	// which had no demand has something for the first requests.
 	evenPart = 0.25
-	// firstSpan is the part of a second's rate that a new bucket holds. It is
-	// small, because hosts that restart together must not get their bursts twice.
-	firstSpan = 0.3
+	// firstPart is the part of its burst that a new bucket holds. Hosts that
+	// restart together must not get their whole bursts twice.
+	firstPart = 0.6
 	// growth is the part of the way to a larger share that one step goes; others
 	// may not have heard yet that theirs are smaller.
 	growth = 0.4
@@ -161,10 +161,10 @@
 			continue
 		}
 		changed = true
-		rate := a.Rate / float64(others+1)
-		sh := &share{bucket: budget.NewBucket(budget.Share[unit.Tokens]{
-			Rate: tokens(rate), Burst: tokens(max(rate*firstSpan, 1)),
-		}, now.Add(-time.Duration(firstSpan*float64(time.Second))))}
+		first := budget.Share[unit.Tokens]{
+			Rate: tokens(a.Rate / float64(others+1)), Burst: tokens(max(a.Burst*firstPart/float64(others+1), 1)),
+		}
+		sh := &share{bucket: budget.NewBucket(first, now.Add(-fillTime(first)))}
 		sh.bound.Store(a.Rate > 0)
 		next[a.ID] = sh
 	}
@@ -173,6 +173,14 @@
 	}
 }
 
+// fillTime returns how long an empty bucket takes to fill.
+func fillTime(s budget.Share[unit.Tokens]) time.Duration {
+	if s.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(s.Burst) / float64(s.Rate) * float64(time.Second))
+}
+
 func (sh *share) measure(elapsed time.Duration) {
 	asked := sh.asked.Load()
 	rate := float64(asked-sh.counted) / elapsed.Seconds()
