Let one host of a region read the store for the others

Change: the first host by name of a region reads, with waits of 0.9 s, and sends what changed; digests tell the age of its copies, and a host reads for itself when that exceeds 1.5 s. The overflow's reserve is one request, its part 5 %; regions are weighed by live slots.

--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -16,14 +16,18 @@
 	"celerypin.example/celerypin/platform"
 )
 
-// Times of reading the store.
+// Times of reading the store. One host of each region reads for the others and
+// tells how fresh its copies are; a host reads for itself when that is too old,
+// so that a change is known everywhere within two seconds whoever is cut off.
 const (
 	// feedWait is how long a read waits for a change. It bounds how long a silent
 	// connection stays unnoticed.
-	feedWait = 4 * time.Second
-	// upstreamsInterval is the interval between two reads of the upstreams' rows,
-	// which change with each of their heartbeats, so that waiting is of no use.
-	upstreamsInterval = 900 * time.Millisecond
+	feedWait = 900 * time.Millisecond
+	// staleAfter is the age from which a host reads for itself: a reader's wait, the
+	// interval between digests, and the way.
+	staleAfter = 1500 * time.Millisecond
+	// staleCheck is the interval at which the age is looked at.
+	staleCheck = 100 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed read.
 	firstPause   = 150 * time.Millisecond
 	longestPause = 900 * time.Millisecond
@@ -36,6 +40,11 @@
 	log    *logging.Log
 	tables map[platform.Table]*copied
 
+	// reading tells whether this host reads for its region.
+	reading atomic.Bool
+	// brought gives the rows that were read to the other hosts of the region.
+	brought func(name platform.Table, rows []mirror.Row, base, version mirror.Version)
+
 	mu sync.Mutex
 	// pending holds the changes that the keeper has not taken yet.
 	pending map[platform.Table][]mirror.Row
@@ -44,22 +53,22 @@
 // copied is the copy of one table.
 type copied struct {
 	*mirror.Table
-	// waits is how long a read waits for changes; 0 means to read at intervals.
-	waits time.Duration
 	// failing is set while reads fail; troubleAt is when one last failed.
 	failing   atomic.Bool
 	troubleAt atomic.Int64
 	// listed is set when the table has been read once.
 	listed atomic.Bool
+	// freshAt is when the copy was last known to be complete.
+	freshAt atomic.Int64
 }
 
 func newCopies(store *platform.Store, c clock.Clock, log *logging.Log) *copies {
 	return &copies{
 		store: store, clock: c, log: log, pending: map[platform.Table][]mirror.Row{},
 		tables: map[platform.Table]*copied{
-			platform.Operator:  {Table: mirror.New(), waits: feedWait},
+			platform.Operator:  {Table: mirror.New()},
 			platform.Upstreams: {Table: mirror.New()},
-			platform.Own:       {Table: mirror.New(), waits: feedWait},
+			platform.Own:       {Table: mirror.New()},
 		},
 	}
 }
@@ -89,13 +98,21 @@
 			changed()
 		}
 		pause = firstPause
-		if table.waits == 0 {
-			c.clock.Sleep(ctx, jitter(upstreamsInterval))
-		}
+		c.awaitTurn(ctx, table)
 	}
 	return nil
 }
 
+// awaitTurn waits until the copy that another host keeps fresh has become
+// stale, unless this host reads for its region.
+func (c *copies) awaitTurn(ctx context.Context, table *copied) {
+	for !c.reading.Load() && c.clock.Now().Sub(clock.Instant(table.freshAt.Load())) < staleAfter {
+		if !c.clock.Sleep(ctx, staleCheck) {
+			return
+		}
+	}
+}
+
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
 }
@@ -105,9 +122,18 @@
 func (c *copies) read(ctx context.Context, name platform.Table, table *copied) ([]mirror.Row, error) {
 	if table.listed.Load() {
 		after := table.Version()
-		rows, version, err := c.store.Changes(ctx, name, after, table.waits)
+		wait := time.Duration(0)
+		if c.reading.Load() {
+			wait = feedWait
+		}
+		rows, version, err := c.store.Changes(ctx, name, after, wait)
 		if err == nil {
-			return table.Apply(rows, after, version), nil
+			table.freshAt.Store(int64(c.clock.Now()))
+			changed := table.Apply(rows, after, version)
+			if len(changed) > 0 && c.reading.Load() {
+				c.brought(name, changed, after, version)
+			}
+			return changed, nil
 		}
 		if !errors.Is(err, platform.ErrCompacted) {
 			return nil, err
@@ -119,6 +145,7 @@
 		return nil, err
 	}
 	table.listed.Store(true)
+	table.freshAt.Store(int64(c.clock.Now()))
 	return table.Reset(rows, version), nil
 }
 
@@ -169,6 +196,38 @@
 	return len(changed) > 0
 }
 
+// vouched takes the word of the host that reads for this one: its copies are
+// complete as of these versions, and were so at these ages.
+func (c *copies) vouched(versions map[string]mirror.Version, ages map[string]time.Duration, now clock.Instant) {
+	for name, table := range c.tables {
+		age, told := ages[string(name)]
+		if told && table.Version() >= versions[string(name)] {
+			table.freshAt.Store(max(table.freshAt.Load(), int64(now.Add(-age))))
+		}
+	}
+}
+
+// ages returns how long ago each copy was known to be complete.
+func (c *copies) ages(now clock.Instant) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for name, table := range c.tables {
+		if at := table.freshAt.Load(); at > 0 {
+			out[string(name)] = now.Sub(clock.Instant(at))
+		}
+	}
+	return out
+}
+
+// failing tells whether the store cannot be read.
+func (c *copies) failing() bool {
+	for _, table := range c.tables {
+		if table.failing.Load() {
+			return true
+		}
+	}
+	return false
+}
+
 // versions returns the versions as of which the copies are complete.
 func (c *copies) versions() map[string]mirror.Version {
 	out := map[string]mirror.Version{}
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -54,6 +54,8 @@
 	writing   map[string]bool
 	announced bool
 
+	// reader is the host of the region that reads the store for the others.
+	reader      id.Host
 	orders      map[id.Service]rollout.Order
 	records     map[id.Service]rollout.Record
 	sequence    id.Sequence
@@ -115,6 +117,8 @@
 			k.takeRow(name, row, now)
 		}
 	}
+	k.reader = k.edge.roster.Reader(k.edge.copies.failing(), k.edge.leaving.Load(), now)
+	k.edge.copies.reading.Store(k.reader == k.self.ID)
 	k.stepReleases(ctx, now)
 	k.fleet.step(now)
 	k.stepShares(now)
@@ -333,9 +337,14 @@
 // Refused implements the events of the mesh.
 func (k *keeper) Refused(id.Host) {}
 
-// relay sends a host the rows that it has missed.
+// relay sends a host the rows that it has missed, if it cannot read them, or
+// this host reads for its region. Others read for themselves in time.
 func (k *keeper) relay(to id.Host, d *roster.Digest) {
 	now := k.edge.clock.Now()
+	inCharge := k.edge.copies.reading.Load() && d.Host.Region == k.self.Region
+	if !inCharge && !d.Failing {
+		return
+	}
 	for name, table := range k.edge.copies.tables {
 		theirs := d.Versions[string(name)]
 		if table.Version() <= theirs || !k.mayRelay(relayKey{to, string(name)}, now) {
@@ -346,6 +355,16 @@
 	}
 }
 
+// bring sends rows that were read to the other hosts of the region.
+func (k *keeper) bring(name platform.Table, rows []mirror.Row, base, version mirror.Version) {
+	now := k.edge.clock.Now()
+	for _, d := range k.edge.roster.Live(now) {
+		if d.Host.Region == k.self.Region {
+			k.edge.mesh.Send(d.Host.ID, gossip.Message{Rows: &gossip.Rows{Table: string(name), Base: base, Version: version, Rows: rows}})
+		}
+	}
+}
+
 func (k *keeper) mayRelay(key relayKey, now clock.Instant) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -365,6 +384,9 @@
 		if !k.edge.roster.Hear(*d, now) {
 			continue
 		}
+		if d.Host.ID == k.reader && !d.Failing {
+			k.edge.copies.vouched(d.Versions, d.Ages, now)
+		}
 		k.rolls.Hear(d.Host.ID, d.Incarnation, d.Outcomes)
 		for _, b := range d.Bad {
 			k.rolls.HearBad(b)
@@ -380,7 +402,7 @@
 	k.rolls.Hear(k.self.ID, k.self.Incarnation, outcomes)
 	d := &roster.Digest{
 		Incarnation: k.self.Incarnation, Sequence: k.sequence, Host: k.self.Host, Leaving: !k.edge.Ready(),
-		Versions: k.edge.copies.versions(), Demand: k.edge.shares.Demand(), Requests: k.edge.shares.Requests(),
+		Versions: k.edge.copies.versions(), Ages: k.edge.copies.ages(now), Failing: k.edge.copies.failing(), Demand: k.edge.shares.Demand(), Requests: k.edge.shares.Requests(),
 		Outcomes: outcomes, Bad: k.rolls.Bad(),
 	}
 	far := k.digests%farEvery == 0 || k.edge.leaving.Load()
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"time"
 
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/pkg/coordination/release"
@@ -47,6 +49,8 @@
 	Address       string                    `cbor:"address"`
 	Leaving       bool                      `cbor:"leaving,omitempty"`
 	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
+	Ages          map[string]uint32         `cbor:"ages_ms,omitempty"`
+	Failing       bool                      `cbor:"failing,omitempty"`
 	Demand        map[id.Account]float32    `cbor:"demand,omitempty"`
 	Requests      float32                   `cbor:"requests"`
 	Outcomes      []outcome                 `cbor:"outcomes,omitempty"`
@@ -128,8 +132,11 @@
 func digestToWire(d *roster.Digest) *digest {
 	out := &digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
-		Address: d.Host.Address, Leaving: d.Leaving, Versions: d.Versions, Requests: float32(d.Requests),
-		Demand: map[id.Account]float32{},
+		Address: d.Host.Address, Leaving: d.Leaving, Versions: d.Versions, Failing: d.Failing, Requests: float32(d.Requests),
+		Demand: map[id.Account]float32{}, Ages: map[string]uint32{},
+	}
+	for table, age := range d.Ages {
+		out.Ages[table] = uint32(min(age.Milliseconds(), math.MaxUint32))
 	}
 	for account, rate := range d.Demand {
 		out.Demand[account] = float32(rate)
@@ -149,9 +156,13 @@
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address},
-		Leaving: d.Leaving, Versions: d.Versions, Requests: float64(d.Requests),
+		Leaving: d.Leaving, Versions: d.Versions, Failing: d.Failing, Requests: float64(d.Requests),
+		Ages:   map[string]time.Duration{},
 		Demand: map[id.Account]float64{}, Outcomes: map[release.Subject]release.Counts{},
 	}
+	for table, age := range d.Ages {
+		out.Ages[table] = time.Duration(age) * time.Millisecond
+	}
 	for account, rate := range d.Demand {
 		out.Demand[account] = float64(rate)
 	}
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -256,7 +256,7 @@
 	g := s.releases[a.Release]
 	object := objectHash(a)
 	t := p.timings.of(a.Service, a.Route)
-	order := p.regions(s, g, a, object, now)
+	order := p.regions(s, g, a, object)
 	if len(order) == 0 {
 		return nil, Absent
 	}
@@ -288,17 +288,18 @@
 }
 
 // regions returns the regions to try: the one that the object falls to first.
-func (p *Placer) regions(s *pool, g group, a *Ask, object uint64, now clock.Instant) []id.Region {
+func (p *Placer) regions(s *pool, g group, a *Ask, object uint64) []id.Region {
 	var allowed []id.Region
 	for region, list := range g {
 		if a.allows(region) && hasLive(list) {
 			allowed = append(allowed, region)
 		}
 	}
+	// Upstreams that are passed over for a moment count, or objects would move.
 	weight := func(region id.Region) float64 {
 		slots := 0
 		for _, u := range g[region] {
-			if u.usable(now) {
+			if u.Info.State == fleet.UpstreamLive {
 				slots += u.Info.Slots
 			}
 		}
--- a/pkg/coordination/place/spread.go
+++ b/pkg/coordination/place/spread.go
@@ -34,10 +34,10 @@
 	spreadMargin = 1.0
 	// spreadRate is the most that the part changes in a second; two seconds of it
 	// stay below half of the bound on moved requests, which leaves room for chance.
-	spreadRate = 0.03
+	spreadRate = 0.025
 	// overflowPart and overflowReserve bound the requests that do not fit: a part
 	// of all, and a few at once.
-	overflowPart, overflowReserve = 0.06, 4
+	overflowPart, overflowReserve = 0.05, 1
 	// tightPart is the part of placements that must lack room before more leave.
 	tightPart = 0.15
 )
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -30,6 +30,10 @@
 	Leaving     bool
 	// Versions are those as of which the host's copies of the tables are complete.
 	Versions map[string]mirror.Version
+	// Ages are how long ago the copies were known to be complete.
+	Ages map[string]time.Duration
+	// Failing tells that the host cannot read the store.
+	Failing bool
 	// Demand is the requests a second of each account that reach the host.
 	Demand map[id.Account]float64
 	// Requests is the requests a second that reach the host.
@@ -209,6 +213,21 @@
 	return true
 }
 
+// Reader returns the host of this region that reads the store for the others:
+// the first by name that lives and can.
+func (r *Roster) Reader(failing, leaving bool, now clock.Instant) id.Host {
+	for _, d := range r.Live(now) {
+		if d.Host.Region != r.self.Region || d.Leaving || d.Failing {
+			continue
+		}
+		if failing || leaving || d.Host.ID < r.self.ID {
+			return d.Host.ID
+		}
+		break
+	}
+	return r.self.ID
+}
+
 // Nearby returns the addresses of the live hosts that a client should use: those
 // of its failure domain if there are a few, those of its region otherwise, and
 // only if there are none those of other regions.
