Test the platform's formats, both sides of HTTP/1.1, decisions on requests, and copies

A race was found on the way (TestLargeBodiesAreStreamed under the race detector): the reader of a connection marked the last request after the writer had begun; the mark is now derived from whether the body was read to its end.

--- /dev/null
+++ b/internal/transport/http1/server_test.go
@@ -0,0 +1,252 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/internal/golden"
+	"celerypin.example/celerypin/pkg/state/clock"
+)
+
+// patience bounds the wait for something that must happen; it is no target.
+const patience = 10 * time.Second
+
+var limitsOfTest = Limits{HeaderBytes: 4 << 10, MaxBodyBytes: 2 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+
+// handlerFunc makes a function a Handler.
+type handlerFunc func(ctx context.Context, c *Call) Reply
+
+func (f handlerFunc) Handle(ctx context.Context, c *Call) Reply { return f(ctx, c) }
+
+func text(s string) Reply {
+	return Reply{Status: http.StatusOK, Header: http.Header{}, Body: []byte(s)}
+}
+
+type running struct {
+	*Server
+	address string
+}
+
+func serveTest(t *testing.T, h handlerFunc) *running {
+	t.Helper()
+	listener, err := Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(h, func() Limits { return limitsOfTest }, clock.System{})
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		s.Stop(ctx)
+	})
+	return &running{s, listener.Addr().String()}
+}
+
+func (r *running) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	return conn
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+// readAll reads an answer with its body.
+func readAnswer(t *testing.T, in *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+func TestPipelinedRequestsRunTogetherAndAreAnsweredInOrder(t *testing.T) {
+	second := make(chan struct{})
+	s := serveTest(t, func(_ context.Context, c *Call) Reply {
+		if c.Request.URL.Path == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return text(c.Request.URL.Path)
+	})
+	conn := s.dial(t)
+	_, _ = io.WriteString(conn, get("/1")+get("/2"))
+	in := bufio.NewReader(conn)
+	for _, want := range []string{"/1", "/2"} {
+		if _, got := readAnswer(t, in); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
+
+func TestTurnComesWhenEarlierRequestsAreAnswered(t *testing.T) {
+	var mu sync.Mutex
+	var order []string
+	note := func(s string) {
+		mu.Lock()
+		defer mu.Unlock()
+		order = append(order, s)
+	}
+	s := serveTest(t, func(_ context.Context, c *Call) Reply {
+		<-c.Turn
+		time.Sleep(20 * time.Millisecond)
+		note(c.Request.URL.Path)
+		return text("")
+	})
+	conn := s.dial(t)
+	_, _ = io.WriteString(conn, get("/1")+get("/2")+get("/3"))
+	in := bufio.NewReader(conn)
+	for range 3 {
+		readAnswer(t, in)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if got, want := strings.Join(order, " "), "/1 /2 /3"; got != want {
+		t.Errorf("got order %q, want %q", got, want)
+	}
+}
+
+func TestClientThatLeavesEndsItsRequests(t *testing.T) {
+	cases := []struct{ name, sent string }{
+		{"one request", get("/")},
+		{"requests behind it", get("/") + get("/") + get("/")},
+		{"last request of the connection", "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ended := make(chan struct{}, 8)
+			s := serveTest(t, func(ctx context.Context, _ *Call) Reply {
+				<-ctx.Done()
+				ended <- struct{}{}
+				return Reply{Abort: true}
+			})
+			conn := s.dial(t)
+			_, _ = io.WriteString(conn, c.sent)
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.Close()
+			for range strings.Count(c.sent, "GET") {
+				select {
+				case <-ended:
+				case <-time.After(500 * time.Millisecond):
+					t.Fatal("a request went on for half a second after its client had left")
+				}
+			}
+		})
+	}
+}
+
+func TestDrainClosesWithTheAnswer(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	s := serveTest(t, func(context.Context, *Call) Reply {
+		close(begun)
+		<-finish
+		return text("whole")
+	})
+	conn := s.dial(t)
+	_, _ = io.WriteString(conn, get("/"))
+	<-begun
+	s.Drain()
+	close(finish)
+	in := bufio.NewReader(conn)
+	response, got := readAnswer(t, in)
+	if want := "whole"; got != want || !response.Close {
+		t.Errorf("got %q, closing %v, want %q and true", got, response.Close, want)
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("got %v after the last answer, want %v", err, io.EOF)
+	}
+}
+
+func TestStopWaitsForRequestsAndEndsIdleConnections(t *testing.T) {
+	begun := make(chan struct{})
+	s := serveTest(t, func(context.Context, *Call) Reply {
+		close(begun)
+		time.Sleep(200 * time.Millisecond)
+		return text("whole")
+	})
+	idle, busy := s.dial(t), s.dial(t)
+	_, _ = io.WriteString(busy, get("/"))
+	<-begun
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s.Stop(ctx)
+	if _, got := readAnswer(t, bufio.NewReader(busy)); got != "whole" {
+		t.Errorf("got %q, want the whole answer", got)
+	}
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("got %v on the idle connection, want %v", err, io.EOF)
+	}
+}
+
+func TestLargeBodiesAreStreamed(t *testing.T) {
+	want := bytes.Repeat([]byte("0123456789abcdef"), 100<<10)
+	s := serveTest(t, func(_ context.Context, c *Call) Reply {
+		rest, err := io.ReadAll(c.Rest)
+		if err != nil {
+			return Reply{Abort: true}
+		}
+		return text(fmt.Sprint(bytes.Equal(append(c.Body, rest...), want)))
+	})
+	for _, chunked := range []bool{false, true} {
+		conn := s.dial(t)
+		request, _ := http.NewRequest(http.MethodPost, "http://a/", bytes.NewReader(want))
+		if chunked {
+			request.ContentLength = -1
+		}
+		go func() { _ = request.Write(conn) }()
+		if _, got := readAnswer(t, bufio.NewReader(conn)); got != "true" {
+			t.Errorf("chunked %v: got body equal %s, want true", chunked, got)
+		}
+	}
+}
+
+func TestRequestsThatAreRejected(t *testing.T) {
+	s := serveTest(t, func(context.Context, *Call) Reply { return text("") })
+	cases := []struct{ name, sent string }{
+		{"no request", "nonsense\r\n\r\n"},
+		{"head too large", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 32<<10) + "\r\n\r\n"},
+		{"body too large", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n"},
+		{"head that does not end", "GET / HTTP/1.1\r\nHost: a\r\n"},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		conn := s.dial(t)
+		_, _ = io.WriteString(conn, c.sent)
+		response, _ := readAnswer(t, bufio.NewReader(conn))
+		fmt.Fprintf(&out, "%s: %d\n", c.name, response.StatusCode)
+	}
+	golden.Check(t, "rejected.golden", []byte(out.String()))
+}
+
+func TestIdleConnectionIsClosedAfterTheLimit(t *testing.T) {
+	s := serveTest(t, func(context.Context, *Call) Reply { return text("") })
+	conn := s.dial(t)
+	began := time.Now()
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("got %v, want %v", err, io.EOF)
+	}
+	if got, want := time.Since(began), limitsOfTest.IdleTimeout; got < want {
+		t.Errorf("got closed after %v, want %v at least", got, want)
+	}
+}
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -105,7 +105,7 @@
 func (c *serverConn) isLast(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if x.last || (c.server.draining.Load() && c.pending == 1) {
+	if x.last || x.unread() || (c.server.draining.Load() && c.pending == 1) {
 		c.closing = true
 	}
 	return c.closing
@@ -128,13 +128,16 @@
 		if !ok {
 			return
 		}
-		if x.last {
+		if x.last || x.unread() {
 			c.watch(x)
 			return
 		}
 	}
 }
 
+// unread tells whether a part of the request's body was left on the connection.
+func (x *exchange) unread() bool { return x.call.Rest != nil && !x.call.Rest.complete.Load() }
+
 // watch waits until the last request is answered, and ends its context if the
 // client leaves before.
 func (c *serverConn) watch(x *exchange) {
@@ -222,7 +225,6 @@
 	c.begin(x)
 	if x.call.Rest != nil {
 		<-x.call.Rest.done
-		x.last = x.last || !x.call.Rest.complete.Load()
 	}
 	return x, true
 }
--- /dev/null
+++ b/pkg/coordination/steer/steer_test.go
@@ -0,0 +1,261 @@
+package steer
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/internal/golden"
+	"celerypin.example/celerypin/pkg/coordination/place"
+	"celerypin.example/celerypin/pkg/coordination/quota"
+	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/rcu"
+)
+
+// scripted is a sender whose exchanges end as the script says; each takes a time.
+type scripted struct {
+	clock  *clock.Fake
+	script []Result
+	takes  time.Duration
+	sent   []id.Upstream
+	orders []Order
+}
+
+func (s *scripted) Send(_ context.Context, _ *Request, o Order) Exchange[string] {
+	s.sent = append(s.sent, o.Upstream.Info.ID)
+	s.orders = append(s.orders, o)
+	s.clock.Advance(s.takes)
+	result := Answered
+	if n := len(s.sent); n <= len(s.script) {
+		result = s.script[n-1]
+	}
+	return Exchange[string]{Result: result, Answer: "answer", OnKept: true}
+}
+
+func state() *desired.State {
+	s := &desired.State{Version: 5, Services: []*desired.Service{{Name: "viewer"}, {Name: "desk"}}}
+	s.Accounts = []*desired.Account{
+		{ID: "choir", Keys: []string{"k"}, Rate: 1000, Burst: 1000}, {ID: "small", Keys: []string{"s"}, Rate: 0.5, Burst: 1},
+		{ID: "homed", Keys: []string{"h"}, Homes: []id.Region{"b"}},
+	}
+	add := func(name id.Route, kind desired.Kind, targets ...desired.Target) {
+		s.Routes = append(s.Routes, &desired.Route{
+			Name: name, VirtualHost: "a.example", Prefix: "/" + string(name) + "/", Kind: kind, Targets: targets,
+			Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, MaxAttempts: 2,
+		})
+	}
+	viewer, desk := desired.Target{Service: "viewer", Weight: 3}, desired.Target{Service: "desk", Weight: 1}
+	add("look", desired.Idempotent, viewer)
+	add("swap", desired.NonIdempotent, viewer)
+	add("photo", desired.Upload, viewer)
+	add("split", desired.Idempotent, viewer, desk)
+	s.Routes = append(s.Routes, &desired.Route{Name: "open", VirtualHost: "a.example", Prefix: "/open/", Targets: []desired.Target{viewer}, Open: true, MaxAttempts: 1})
+	return s.Compile()
+}
+
+type fixture struct {
+	*Steerer[string]
+	sender *scripted
+	clock  *clock.Fake
+}
+
+func newFixture(script ...Result) *fixture {
+	c := clock.NewFake()
+	s := state()
+	var list []place.Listing
+	for _, service := range []id.Service{"viewer", "desk"} {
+		for i := range 6 {
+			region := id.Region("ab"[i%2 : i%2+1])
+			list = append(list, place.Listing{Info: fleet.Upstream{
+				ID: id.Upstream(fmt.Sprintf("%s-%d", service, i)), Service: service, Release: "v1", Region: region, FailureDomain: id.FailureDomain(region),
+				Address: fmt.Sprint(service, i), Slots: 4, State: fleet.UpstreamLive,
+			}})
+		}
+	}
+	placer := place.New("a", "a")
+	placer.Update(list, map[id.Region]float64{"a": 0.5, "b": 0.5}, c.Now())
+	shares := quota.New(quota.Bound{Window: 5 * time.Second}, c.Now())
+	shares.Step(s.Accounts, nil, 0, c.Now())
+	splits := release.NewSplits()
+	sender := &scripted{clock: c, script: script, takes: 20 * time.Millisecond}
+	return &fixture{sender: sender, clock: c, Steerer: New(Parts[string]{
+		State: rcu.New(s), Shares: shares, Placer: placer, Splits: splits, Recorder: release.NewRecorder(splits),
+		Approved: func(id.Service) id.Release { return "v1" }, Sender: sender, Clock: c, RepeatRatio: 0.2, RepeatReserve: 5,
+	})}
+}
+
+func (f *fixture) request(path, key string) *Request {
+	return &Request{
+		Attempt: "a-1", VirtualHost: "a.example", Path: path, Object: "17", Key: key, HasKey: key != "",
+		Remaining: 2500 * time.Millisecond, Arrived: f.clock.Now(), Replayable: true,
+	}
+}
+
+var fates = map[Fate]string{
+	Delivered: "delivered", UnknownRoute: "unknown route", UnknownKey: "unknown key", OverQuota: "over quota",
+	Refused: "refused", Failed: "failed", TimedOut: "timed out", Gone: "gone",
+}
+
+// TestFates holds what becomes of requests, by kind and by how exchanges end.
+func TestFates(t *testing.T) {
+	cases := []struct {
+		name, path, key string
+		script          []Result
+	}{
+		{"served", "/look/1", "k", nil},
+		{"no route", "/other/1", "k", nil},
+		{"no key", "/look/1", "", nil},
+		{"unknown key", "/look/1", "x", nil},
+		{"open route without key", "/open/1", "", nil},
+		{"open route with a key", "/open/1", "k", nil},
+		{"idempotent, answer lost once", "/look/1", "k", []Result{Lost}},
+		{"idempotent, answers lost", "/look/1", "k", []Result{Lost, Lost, Lost}},
+		{"idempotent, upstream fails", "/look/1", "k", []Result{AnsweredBad}},
+		{"idempotent, upstreams fail", "/look/1", "k", []Result{AnsweredBad, AnsweredBad}},
+		{"not idempotent, answer lost", "/swap/1", "k", []Result{Lost}},
+		{"not idempotent, upstream fails", "/swap/1", "k", []Result{AnsweredBad}},
+		{"not idempotent, shed once", "/swap/1", "k", []Result{Shed}},
+		{"not idempotent, shed twice", "/swap/1", "k", []Result{Shed, Shed}},
+		{"not idempotent, misdirected", "/swap/1", "k", []Result{Misdirected}},
+		{"not idempotent, not sent", "/swap/1", "k", []Result{NotSent}},
+		{"not idempotent, shed, then lost", "/swap/1", "k", []Result{Shed, Lost}},
+		{"upload, answer lost", "/photo/1", "k", []Result{Lost}},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		f := newFixture(c.script...)
+		d := f.Serve(context.Background(), f.request(c.path, c.key))
+		fmt.Fprintf(&out, "%-35s %-13s sends %d, reason %q, come back %v\n", c.name, fates[d.Fate], len(f.sender.sent), d.Reason, d.RetryAfter > 0)
+	}
+	golden.Check(t, "fates.golden", []byte(out.String()))
+}
+
+func TestAttemptsGoToDifferentUpstreams(t *testing.T) {
+	f := newFixture(Lost)
+	f.Serve(context.Background(), f.request("/look/1", "k"))
+	if got := f.sender.sent; len(got) != 2 || got[0] == got[1] {
+		t.Errorf("got %v, want two different upstreams", got)
+	}
+	if got := f.sender.orders[1]; !got.Fresh {
+		t.Error("got a kept connection after one had failed, want a new one")
+	}
+}
+
+func TestUpstreamsGetTheTimeThatIsLeft(t *testing.T) {
+	f := newFixture(Lost)
+	f.sender.takes = 300 * time.Millisecond
+	f.Serve(context.Background(), f.request("/look/1", "k"))
+	for i, want := range []time.Duration{800 * time.Millisecond, 500 * time.Millisecond} {
+		if got := f.sender.orders[i].Remaining; got != want {
+			t.Errorf("attempt %d: got %v left, want %v", i+1, got, want)
+		}
+	}
+}
+
+func TestRequestWithoutTimeIsNotSent(t *testing.T) {
+	f := newFixture()
+	r := f.request("/look/1", "k")
+	f.clock.Advance(795 * time.Millisecond)
+	d := f.Serve(context.Background(), r)
+	if got, want := d.Fate, Refused; got != want || len(f.sender.sent) != 0 {
+		t.Errorf("got %s after %d sends, want %s after none", fates[got], len(f.sender.sent), fates[want])
+	}
+}
+
+func TestRepeatsAreBounded(t *testing.T) {
+	f := newFixture()
+	f.sender.script = nil
+	lost := make([]Result, 400)
+	for i := range lost {
+		lost[i] = Lost
+	}
+	f.sender.script = lost
+	const requests = 100
+	for range requests {
+		f.clock.Advance(time.Second)
+		f.Serve(context.Background(), f.request("/look/1", "k"))
+	}
+	if got, want := len(f.sender.sent)-requests, requests/5+5; got > want {
+		t.Errorf("got %d repeats of %d requests, want at most %d", got, requests, want)
+	}
+}
+
+func TestQuotaBinds(t *testing.T) {
+	f := newFixture()
+	served := 0
+	for range 10 {
+		if d := f.Serve(context.Background(), f.request("/look/1", "s")); d.Fate == Delivered {
+			served++
+		} else if d.Fate != OverQuota || d.RetryAfter <= 0 {
+			t.Errorf("got %s, back after %v, want over quota and a time", fates[d.Fate], d.RetryAfter)
+		}
+	}
+	if got, want := served, 2; got > want {
+		t.Errorf("got %d served, want at most %d", got, want)
+	}
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	f := newFixture()
+	const requests = 2000
+	desk := 0
+	for range requests {
+		if d := f.Serve(context.Background(), f.request("/split/1", "k")); d.Service == "desk" {
+			desk++
+		}
+		f.clock.Advance(time.Second)
+	}
+	if got, want := float64(desk)/requests, 0.25; got < want-0.05 || got > want+0.05 {
+		t.Errorf("got a part of %.3f, want %.2f", got, want)
+	}
+}
+
+func TestHomesOfAccountBind(t *testing.T) {
+	f := newFixture()
+	for i := range 50 {
+		r := f.request("/look/1", "h")
+		r.Object = id.Object(fmt.Sprint(i))
+		f.Serve(context.Background(), r)
+		f.clock.Advance(time.Second)
+	}
+	for _, o := range f.sender.orders {
+		if got, want := o.Upstream.Info.Region, id.Region("b"); got != want {
+			t.Fatalf("got region %s, want %s", got, want)
+		}
+	}
+}
+
+func TestNotIdempotentRequestWaitsForItsTurn(t *testing.T) {
+	f := newFixture()
+	r := f.request("/swap/1", "k")
+	r.Turn = make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if got, want := f.Serve(ctx, r).Fate, Gone; got != want || len(f.sender.sent) != 0 {
+		t.Errorf("got %s after %d sends, want %s after none", fates[got], len(f.sender.sent), fates[want])
+	}
+}
+
+func TestClientThatLeftIsNotServed(t *testing.T) {
+	f := newFixture(Lost)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if got, want := f.Serve(ctx, f.request("/look/1", "k")).Fate, Gone; got != want {
+		t.Errorf("got %s, want %s", fates[got], fates[want])
+	}
+}
+
+func TestHostWithoutDesiredStateRefuses(t *testing.T) {
+	f := newFixture()
+	f.State.Store(nil)
+	d := f.Serve(context.Background(), f.request("/look/1", "k"))
+	if got, want := d.Fate, Refused; got != want || d.RetryAfter <= 0 {
+		t.Errorf("got %s, back after %v, want %s and a time", fates[got], d.RetryAfter, fates[want])
+	}
+}
--- /dev/null
+++ b/pkg/state/mirror/mirror_test.go
@@ -0,0 +1,91 @@
+package mirror
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func rowsOf(t *Table) map[string]Version {
+	out := map[string]Version{}
+	for k, r := range t.Rows() {
+		out[k] = r.Version
+	}
+	return out
+}
+
+// TestCopiesAgree brings changes to two copies in any order, by reads, by
+// relays between them, and by whole listings; both end with the store's rows.
+func TestCopiesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, a, b := New(), New(), New()
+		var version Version
+		change := func() {
+			version++
+			key := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key"))
+			row := Row{Key: key, Value: []byte{byte(version)}, Version: version, Deleted: rapid.Bool().Draw(t, "deleted")}
+			store.Apply([]Row{row}, version-1, version)
+		}
+		read := func(c *Table) {
+			after := c.Version()
+			rows, v := store.Since(after)
+			c.Apply(rows, after, v)
+		}
+		list := func(c *Table) {
+			var rows []Row
+			for _, r := range store.Rows() {
+				rows = append(rows, r)
+			}
+			c.Reset(rows, store.Version())
+		}
+		relay := func(from, to *Table) {
+			theirs := to.Version()
+			rows, v := from.Since(theirs)
+			to.Apply(rows, theirs, v)
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				change()
+			case 2:
+				read(a)
+			case 3:
+				list(b)
+			case 4:
+				relay(a, b)
+			case 5:
+				relay(b, a)
+			}
+		}
+		read(a)
+		relay(a, b)
+		for name, c := range map[string]*Table{"a": a, "b": b} {
+			if got, want := rowsOf(c), rowsOf(store); !maps.Equal(got, want) {
+				t.Fatalf("copy %s: got %v, want %v", name, got, want)
+			}
+		}
+	})
+}
+
+func TestOlderRowDoesNotComeBack(t *testing.T) {
+	c := New()
+	c.Apply([]Row{{Key: "a", Version: 5, Deleted: true}}, 0, 5)
+	c.Apply([]Row{{Key: "a", Version: 3, Value: []byte("old")}}, 0, 4)
+	if got := len(c.Rows()); got != 0 {
+		t.Errorf("got %d rows, want none", got)
+	}
+}
+
+func TestGapDoesNotAdvanceTheVersion(t *testing.T) {
+	c := New()
+	c.Apply(nil, 0, 5)
+	c.Apply([]Row{{Key: "a", Version: 9}}, 7, 9)
+	if got, want := c.Version(), Version(5); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+	if got, want := len(c.Rows()), 1; got != want {
+		t.Errorf("got %d rows, want %d", got, want)
+	}
+}
