Turn unknown objects away first when an upstream is full

Cause: under load an upstream's queue took requests for any object; each one that it does not know takes the time of three known ones, so queues of cold work kept upstreams cold. Change: an upstream takes requests up to 1.5 times its slots for objects that it does not know, and up to three times for those that it knows. Test: TestKnownObjectsGoFirstWhenFull, seen failing (verdict 0, want 1).

--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -230,6 +230,9 @@
 	// queueDepth bounds the load of an upstream, in multiples of its slots: what
 	// runs and what waits. Upstreams queue a few requests for each slot.
 	queueDepth = 3.0
+	// unknownDepth is the same for objects that the upstream does not know. Each of
+	// them takes the time of several known ones, so they are turned away first.
+	unknownDepth = 1.5
 	// sameDomainTrip, crossDomainTrip and crossRegionTrip are the round trips
 	// assumed for the network.
 	sameDomainTrip  = time.Millisecond
@@ -381,10 +384,14 @@
 func (p *Placer) weigh(u *Upstream, a *Ask, object uint64, t *timing, penalty float64, now clock.Instant) (*Choice, float64) {
 	slots := float64(u.Info.Slots)
 	load := u.Load(now)
-	if load >= slots*queueDepth {
+	known := u.Knows(object)
+	depth := queueDepth
+	if !known {
+		depth = unknownDepth
+	}
+	if load >= slots*depth {
 		return nil, 0
 	}
-	known := u.Knows(object)
 	warm, cold := float64(t.warm.Load()), float64(t.cold.Load())
 	work := cold
 	if known {
--- a/pkg/coordination/place/placer_test.go
+++ b/pkg/coordination/place/placer_test.go
@@ -175,3 +175,24 @@
 		t.Errorf("got %d of 80 requests at the slow upstream, want at most %d", got, want)
 	}
 }
+
+// TestKnownObjectsGoFirstWhenFull fills an upstream and asks for an object that
+// it knows and for others.
+func TestKnownObjectsGoFirstWhenFull(t *testing.T) {
+	c := clock.NewFake()
+	p := newPlacer(c.Now(), upstreams(1, "a1"))
+	first, _ := p.Choose(ask("known"), c.Now())
+	first.Done()
+	first.Served(400*time.Millisecond, c.Now())
+	for i := range 6 {
+		if _, got := p.Choose(ask(id.Object(fmt.Sprint(i))), c.Now()); got != Chosen {
+			t.Fatalf("request %d: got verdict %v, want %v", i, got, Chosen)
+		}
+	}
+	if _, got := p.Choose(ask("another"), c.Now()); got != Full {
+		t.Errorf("unknown object: got verdict %v, want %v", got, Full)
+	}
+	if _, got := p.Choose(ask("known"), c.Now()); got != Chosen {
+		t.Errorf("known object: got verdict %v, want %v", got, Chosen)
+	}
+}
