--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -238,6 +238,11 @@
 	sameDomainTrip  = time.Millisecond
 	crossDomainTrip = 2 * time.Millisecond
 	crossRegionTrip = 60 * time.Millisecond
+	// heavyBody is the size of a body, in bytes, from which it matters what the
+	// links between regions carry; such requests rather stay in their region, by
+	// the factor heavyStays.
+	heavyBody  = 16 << 10
+	heavyStays = 3
 	// coldPenalty weighs the work of a cold start beyond the request's own wait:
 	// it takes a place in the upstream's memory and time of its slots.
 	coldPenalty = 1.0
@@ -326,7 +331,11 @@
 		}
 	})
 	local := len(allowed) > 1 && allowed[0] == p.region
-	if local && unit(mix(object^regionSeed)) >= s.spread.load() {
+	stays := s.spread.load()
+	if a.BodyBytes >= heavyBody {
+		stays *= heavyStays
+	}
+	if local && unit(mix(object^regionSeed)) >= stays {
 		allowed = append(allowed[1:], p.region)
 	}
 	return allowed
