Let only as many hosts send to a cold upstream as its bound has room for

Change: the first few hosts by rendezvous send, all name the same ones; the number follows from the bounds in the settings. Test: TestColdUpstreamHasFewSenders.

--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -141,37 +141,39 @@
 func (l *upstreamList) listings(now clock.Instant) []place.Listing {
 	var out []place.Listing
 	own := l.edge.settings.Load().Region
-	senders := float64(max(l.edge.roster.SendersIn(own, now), 1))
 	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
 		e := l.entries[key]
 		if l.evacuated[e.info.FailureDomain] {
 			continue
 		}
 		listing := place.Listing{Info: e.info, ColdUntil: e.coldUntil}
-		perSecond, coldFor := l.cold(e.info.Service)
+		perSecond, coldFor, senders := l.cold(e.info.Service)
 		if at, ok := l.returned[e.info.FailureDomain]; ok {
 			listing.ColdUntil = max(listing.ColdUntil, at.Add(coldFor))
 		}
-		// Only the hosts of its own region send to a cold upstream, so that each
-		// has a part of its bound that is of use.
+		// Only hosts of its own region send to a cold upstream, so that each has a
+		// part of its bound that is of use.
 		if e.info.Region == own {
-			listing.ColdPerSecond = perSecond / senders
+			listing.ColdPerSecond = perSecond * l.edge.roster.ColdShare(e.info.ID, senders, now)
 		}
 		out = append(out, listing)
 	}
 	return out
 }
 
-// cold returns what a service's cold upstreams tolerate, and for how long they
-// are cold.
-func (l *upstreamList) cold(service id.Service) (perSecond float64, coldFor time.Duration) {
+// cold returns what a service's cold upstreams tolerate, for how long they are
+// cold, and how many hosts may send to one: each may send a request at once, and
+// half of what the bound allows beyond the rate is for those.
+func (l *upstreamList) cold(service id.Service) (perSecond float64, coldFor time.Duration, senders int) {
 	state := *l.edge.state.Load()
 	if state == nil {
-		return 0, returnCold
+		return 0, returnCold, 1
 	}
 	s := state.Service(service)
 	if s == nil {
-		return 0, returnCold
+		return 0, returnCold, 1
 	}
-	return s.ColdPerSecond, max(s.ColdFor, returnCold)
+	bounds := l.edge.settings.Load().Bounds
+	beyond := s.ColdPerSecond*(bounds.ColdExcess-1) + bounds.ColdSlack
+	return s.ColdPerSecond, max(s.ColdFor, returnCold), int(beyond / 2)
 }
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
@@ -151,24 +153,38 @@
 // unknownHosts is how many other hosts there are taken to be before any is known.
 const unknownHosts = 8
 
-// SendersIn returns how many hosts of a region may send requests: this one,
-// those that are listed, and those that were heard lately.
-func (r *Roster) SendersIn(region id.Region, now clock.Instant) int {
-	names := map[id.Host]bool{}
-	if r.self.Region == region {
-		names[r.self.ID] = true
-	}
+// ColdShare returns this host's part of what a cold upstream of its region may
+// get, as one over a number of hosts, or 0 if others send. Each sender may send
+// one request at once beside its rate, so only as many hosts send as the bound
+// has room for; all hosts name the same ones.
+func (r *Roster) ColdShare(upstream id.Upstream, most int, now clock.Instant) float64 {
+	names := map[id.Host]bool{r.self.ID: true}
 	for _, m := range r.Listed() {
-		if m.Region == region {
+		if m.Region == r.self.Region {
 			names[m.ID] = true
 		}
 	}
 	for _, d := range r.Live(now) {
-		if d.Host.Region == region {
+		if d.Host.Region == r.self.Region {
 			names[d.Host.ID] = true
 		}
 	}
-	return len(names)
+	senders := min(len(names), max(most, 1))
+	before := 0
+	own := coldRank(r.self.ID, upstream)
+	for name := range names {
+		if coldRank(name, upstream) > own {
+			before++
+		}
+	}
+	if before >= senders {
+		return 0
+	}
+	return 1 / float64(senders)
+}
+
+func coldRank(host id.Host, upstream id.Upstream) uint64 {
+	return xxhash.Sum64String(string(host) + "\x00" + string(upstream))
 }
 
 // Demand returns the part of all requests that each region has. Regions of
--- /dev/null
+++ b/pkg/coordination/roster/roster_test.go
@@ -0,0 +1,144 @@
+package roster
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+func member(name, region, domain string) Member {
+	return Member{Host: fleet.Host{ID: id.Host(name), Region: id.Region(region), FailureDomain: id.FailureDomain(domain), Address: name + ":1"}}
+}
+
+func digest(m Member, seq int) Digest {
+	return Digest{Incarnation: 1, Sequence: id.Sequence(seq), Host: m.Host}
+}
+
+// TestColdUpstreamHasFewSenders lets each host of a large region have its part:
+// the parts make one, and the senders are as few as the bound has room for.
+func TestColdUpstreamHasFewSenders(t *testing.T) {
+	c := clock.NewFake()
+	var members []Member
+	for i := range 21 {
+		members = append(members, member(fmt.Sprintf("h%02d", i), "a", "a1"))
+	}
+	senders, sum := 0, 0.0
+	for _, m := range members {
+		r := New(m)
+		r.SetListed(members)
+		if part := r.ColdShare("u-1", 6, c.Now()); part > 0 {
+			senders++
+			sum += part
+		}
+	}
+	if got, want := senders, 6; got != want {
+		t.Errorf("got %d senders, want %d", got, want)
+	}
+	if got := sum; got < 0.999 || got > 1.001 {
+		t.Errorf("got parts that make %.3f, want 1", got)
+	}
+}
+
+func TestDirectoryNamesLiveHostsNearby(t *testing.T) {
+	c := clock.NewFake()
+	self := member("h0", "a", "a1")
+	others := []Member{member("h1", "a", "a1"), member("h2", "a", "a2"), member("h3", "b", "b1")}
+	r := New(self)
+	hear := func(seq int, skip string) {
+		for _, m := range others {
+			if string(m.ID) != skip {
+				r.Hear(digest(m, seq), c.Now())
+			}
+		}
+	}
+	hear(1, "")
+	cases := []struct {
+		name, region, domain string
+		leaving              bool
+		want                 []string
+	}{
+		{"two in the failure domain", "a", "a1", false, []string{"h0:1", "h1:1"}},
+		{"one in the failure domain", "a", "a2", false, []string{"h0:1", "h1:1", "h2:1"}},
+		{"another region", "b", "b1", false, []string{"h3:1"}},
+		{"a region without hosts", "c", "c1", false, []string{"h0:1", "h1:1", "h2:1", "h3:1"}},
+		{"this host leaves", "a", "a1", true, []string{"h1:1", "h2:1"}},
+	}
+	for _, tc := range cases {
+		got := r.Nearby(id.Region(tc.region), id.FailureDomain(tc.domain), tc.leaving, c.Now())
+		if !slices.Equal(got, tc.want) {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+	c.Advance(1500 * time.Millisecond)
+	hear(2, "h1")
+	c.Advance(time.Second)
+	if got, want := r.Nearby("a", "a1", false, c.Now()), []string{"h0:1", "h2:1"}; !slices.Equal(got, want) {
+		t.Errorf("after h1 fell silent: got %v, want %v", got, want)
+	}
+}
+
+func TestReaderIsTheFirstThatLivesAndCan(t *testing.T) {
+	c := clock.NewFake()
+	r := New(member("h1", "a", "a1"))
+	first, other := digest(member("h0", "a", "a1"), 1), digest(member("a0", "b", "b1"), 1)
+	r.Hear(first, c.Now())
+	r.Hear(other, c.Now())
+	if got, want := r.Reader(false, false, c.Now()), id.Host("h0"); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	first.Sequence, first.Failing = 2, true
+	r.Hear(first, c.Now())
+	if got, want := r.Reader(false, false, c.Now()), id.Host("h1"); got != want {
+		t.Errorf("first host cannot read: got %s, want %s", got, want)
+	}
+	third := digest(member("h2", "a", "a2"), 1)
+	r.Hear(third, c.Now())
+	if got, want := r.Reader(true, false, c.Now()), id.Host("h2"); got != want {
+		t.Errorf("nor can this one: got %s, want %s", got, want)
+	}
+	c.Advance(10 * time.Second)
+	if got, want := r.Reader(false, false, c.Now()), id.Host("h1"); got != want {
+		t.Errorf("nobody heard: got %s, want %s", got, want)
+	}
+}
+
+func TestOldDigestChangesNothing(t *testing.T) {
+	c := clock.NewFake()
+	r := New(member("h0", "a", "a1"))
+	m := member("h1", "a", "a1")
+	newer := digest(m, 5)
+	newer.Leaving = true
+	r.Hear(newer, c.Now())
+	if got := r.Hear(digest(m, 4), c.Now()); got {
+		t.Error("got an old digest taken, want it dropped")
+	}
+	restarted := digest(m, 1)
+	restarted.Incarnation = 2
+	if got := r.Hear(restarted, c.Now()); !got {
+		t.Error("got the first digest of a new incarnation dropped, want it taken")
+	}
+}
+
+func TestSilentHostKeepsItsShares(t *testing.T) {
+	c := clock.NewFake()
+	r := New(member("h0", "a", "a1"))
+	m := member("h1", "b", "b1")
+	r.SetListed([]Member{m, member("h2", "b", "b1")})
+	r.Hear(digest(m, 1), c.Now())
+	c.Advance(15 * time.Second)
+	if got, want := len(r.Live(c.Now())), 0; got != want {
+		t.Errorf("got %d live, want %d", got, want)
+	}
+	told := r.Reserved(c.Now())
+	if got, want := len(told), 1; got != want {
+		t.Errorf("got %d with shares, want %d", got, want)
+	}
+	if got, want := r.Silent(told), 1; got != want {
+		t.Errorf("got %d silent, want %d", got, want)
+	}
+}
