Leave silent hosts the parts of quotas that they use

Change: digests tell the part of each quota that a host uses; a host that is not heard keeps its part, and the others divide the rest. Test: TestHotAccountDuringAPartition, seen failing without the reservation (169 of 152).

--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -9,6 +9,7 @@
 
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/gossip"
+	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/rollout"
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -310,12 +311,21 @@
 }
 
 func (k *keeper) divideQuotas(state *desired.State, now clock.Instant) {
-	var others []map[id.Account]float64
+	var peers quota.Peers
+	live := map[id.Host]bool{}
+	for _, d := range k.edge.roster.Live(now) {
+		live[d.Host.ID] = true
+	}
 	told := k.edge.roster.Reserved(now)
 	for _, d := range told {
-		others = append(others, d.Demand)
+		if live[d.Host.ID] {
+			peers.Live = append(peers.Live, d.Quota)
+		} else {
+			peers.Silent = append(peers.Silent, d.Quota)
+		}
 	}
-	k.edge.shares.Step(state.Accounts, others, k.edge.roster.Silent(told), now)
+	peers.Unheard = k.edge.roster.Silent(told)
+	k.edge.shares.Step(state.Accounts, peers, now)
 }
 
 // Received implements the events of the mesh.
@@ -402,7 +412,7 @@
 	k.rolls.Hear(k.self.ID, k.self.Incarnation, outcomes)
 	d := &roster.Digest{
 		Incarnation: k.self.Incarnation, Sequence: k.sequence, Host: k.self.Host, Leaving: !k.edge.Ready(),
-		Versions: k.edge.copies.versions(), Ages: k.edge.copies.ages(now), Failing: k.edge.copies.failing(), Demand: k.edge.shares.Demand(), Requests: k.edge.shares.Requests(),
+		Versions: k.edge.copies.versions(), Ages: k.edge.copies.ages(now), Failing: k.edge.copies.failing(), Quota: k.edge.shares.Tell(), Requests: k.edge.shares.Requests(),
 		Outcomes: outcomes, Bad: k.rolls.Bad(),
 	}
 	far := k.digests%farEvery == 0 || k.edge.leaving.Load()
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -6,10 +6,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/fleet"
@@ -51,12 +54,21 @@
 	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
 	Ages          map[string]uint32         `cbor:"ages_ms,omitempty"`
 	Failing       bool                      `cbor:"failing,omitempty"`
-	Demand        map[id.Account]float32    `cbor:"demand,omitempty"`
+	Quotas        []told                    `cbor:"quotas,omitempty"`
 	Requests      float32                   `cbor:"requests"`
 	Outcomes      []outcome                 `cbor:"outcomes,omitempty"`
 	Bad           []bad                     `cbor:"bad,omitempty"`
 }
 
+// told is an array on the wire, because a digest carries many.
+type told struct {
+	_       struct{} `cbor:",toarray"`
+	Account id.Account
+	Demand  float32
+	// Part is negative if the account has no quota.
+	Part float32
+}
+
 type outcome struct {
 	_        struct{} `cbor:",toarray"`
 	Service  id.Service
@@ -133,14 +145,12 @@
 	out := &digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
 		Address: d.Host.Address, Leaving: d.Leaving, Versions: d.Versions, Failing: d.Failing, Requests: float32(d.Requests),
-		Demand: map[id.Account]float32{}, Ages: map[string]uint32{},
+		Ages: map[string]uint32{},
 	}
 	for table, age := range d.Ages {
 		out.Ages[table] = uint32(min(age.Milliseconds(), math.MaxUint32))
 	}
-	for account, rate := range d.Demand {
-		out.Demand[account] = float32(rate)
-	}
+	out.Quotas = quotasToWire(d.Quota)
 	for s, c := range d.Outcomes {
 		out.Outcomes = append(out.Outcomes, outcome{
 			Service: s.Service, Release: s.Release, Route: s.Route, Requests: c.Requests, Failed: c.Failed, Slow: c.Slow,
@@ -152,19 +162,43 @@
 	return out
 }
 
+func quotasToWire(q quota.Told) []told {
+	accounts := map[id.Account]bool{}
+	for account := range q.Demand {
+		accounts[account] = true
+	}
+	for account := range q.Part {
+		accounts[account] = true
+	}
+	var out []told
+	for _, account := range slices.Sorted(maps.Keys(accounts)) {
+		part, bound := q.Part[account]
+		if !bound {
+			part = -1
+		}
+		out = append(out, told{Account: account, Demand: float32(q.Demand[account]), Part: float32(part)})
+	}
+	return out
+}
+
 func digestFromWire(from id.Host, d *digest) *roster.Digest {
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address},
 		Leaving: d.Leaving, Versions: d.Versions, Failing: d.Failing, Requests: float64(d.Requests),
-		Ages:   map[string]time.Duration{},
-		Demand: map[id.Account]float64{}, Outcomes: map[release.Subject]release.Counts{},
+		Ages:  map[string]time.Duration{},
+		Quota: quota.Told{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}}, Outcomes: map[release.Subject]release.Counts{},
 	}
 	for table, age := range d.Ages {
 		out.Ages[table] = time.Duration(age) * time.Millisecond
 	}
-	for account, rate := range d.Demand {
-		out.Demand[account] = float64(rate)
+	for _, q := range d.Quotas {
+		if q.Demand > 0 {
+			out.Quota.Demand[q.Account] = float64(q.Demand)
+		}
+		if q.Part >= 0 {
+			out.Quota.Part[q.Account] = float64(q.Part)
+		}
 	}
 	for _, o := range d.Outcomes {
 		out.Outcomes[release.Subject{Service: o.Service, Release: o.Release, Route: o.Route}] =
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -108,19 +108,41 @@
 // leastRate bounds the wait that a refusal names, in requests a second.
 const leastRate = 0.5
 
-// Demand returns the requests a second of each account that reach this host, to
-// be told to the other hosts.
-func (s *Shares) Demand() map[id.Account]float64 {
-	out := map[id.Account]float64{}
+// Told is what a host tells the others, by account: the requests a second that
+// reach it, and the part of the quota that it uses.
+type Told struct {
+	Demand map[id.Account]float64
+	Part   map[id.Account]float64
+}
+
+// Peers is what is known of the other hosts that may serve.
+type Peers struct {
+	// Live were heard lately, Silent were not, but may serve on.
+	Live, Silent []Told
+	// Unheard counts those that have told nothing yet.
+	Unheard int
+}
+
+func (p *Peers) count() int { return len(p.Live) + len(p.Silent) + p.Unheard }
+
+// Tell returns what to tell the other hosts.
+func (s *Shares) Tell() Told {
+	out := Told{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}}
 	for account, sh := range *s.accounts.Load() {
 		sh.told.Store(sh.demand.Load())
-		if d := math.Float64frombits(sh.demand.Load()); d > 0.05 {
-			out[account] = d
+		if d := math.Float64frombits(sh.demand.Load()); d > leastDemand {
+			out.Demand[account] = d
+		}
+		if sh.bound.Load() {
+			out.Part[account] = sh.part
 		}
 	}
 	return out
 }
 
+// leastDemand is the demand below which nothing is told, in requests a second.
+const leastDemand = 0.05
+
 // Requests returns the requests a second of all accounts.
 func (s *Shares) Requests() float64 {
 	sum := 0.0
@@ -130,11 +152,10 @@
 	return sum
 }
 
-// Step measures demand and sets the shares anew, given the accounts, what the
-// other hosts that may serve have told of their demand, and how many hosts have
-// told nothing yet. Only one goroutine may call it.
-func (s *Shares) Step(accounts []*desired.Account, others []map[id.Account]float64, silent int, now clock.Instant) {
-	s.add(accounts, len(others)+silent, now)
+// Step measures demand and sets the shares anew, given the accounts and what is
+// known of the other hosts. Step and Tell may be called by one goroutine only.
+func (s *Shares) Step(accounts []*desired.Account, peers Peers, now clock.Instant) {
+	s.add(accounts, peers.count(), now)
 	elapsed := now.Sub(s.steppedAt)
 	if elapsed <= 0 {
 		return
@@ -146,7 +167,7 @@
 		sh.measure(elapsed)
 		sh.bound.Store(a.Rate > 0)
 		if a.Rate > 0 {
-			sh.replace(s.divide(a, sh, others, silent), now)
+			sh.replace(s.divide(a, sh, &peers), now)
 		}
 	}
 }
@@ -191,18 +212,29 @@
 }
 
 // divide returns this host's part of an account's quota. Own demand counts as
-// the others have been told it, so that all divide by the same figures. A host
-// that has told nothing is taken to have as much demand as this one.
-func (s *Shares) divide(a *desired.Account, sh *share, others []map[id.Account]float64, silent int) budget.Share[unit.Tokens] {
+// the others have been told it, so that all divide by the same figures. What a
+// silent host used is left to it, because it may serve on behind a partition; a
+// host that has told nothing is left an even part.
+func (s *Shares) divide(a *desired.Account, sh *share, peers *Peers) budget.Share[unit.Tokens] {
+	even := 1 / float64(peers.count()+1)
+	free := 1 - even*float64(peers.Unheard)
+	for _, t := range peers.Silent {
+		if part, known := t.Part[a.ID]; known {
+			free -= part
+		} else {
+			free -= even
+		}
+	}
+	free = max(free, 0)
 	own := math.Float64frombits(sh.told.Load())
-	all := own * float64(silent+1)
-	for _, d := range others {
-		all += d[a.ID]
+	all := own
+	for _, t := range peers.Live {
+		all += t.Demand[a.ID]
 	}
-	even := 1 / float64(len(others)+silent+1)
-	goal := even
+	evenLive := 1 / float64(len(peers.Live)+1)
+	goal := free * evenLive
 	if all > 0 {
-		goal = evenPart*even + (1-evenPart)*own/all
+		goal = free * (evenPart*evenLive + (1-evenPart)*own/all)
 	}
 	if sh.part == 0 {
 		sh.part = even
--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -17,10 +17,14 @@
 
 // fleet is a few hosts that hear of each other's demand after a lag.
 type fleet struct {
-	clock  *clock.Fake
-	hosts  []*Shares
-	quota  []*desired.Account
-	heard  []map[id.Account]float64
+	clock *clock.Fake
+	hosts []*Shares
+	quota []*desired.Account
+	told  []*Told
+	// live tells whether one host hears another; unheard ones keep what they told.
+	live func(by, of int) bool
+	// kept is what each host has last heard of each other one.
+	kept   [][]*Told
 	admits []time.Duration
 	asked  int
 	since  time.Duration
@@ -33,8 +37,10 @@
 	f := &fleet{clock: clock.NewFake(), quota: []*desired.Account{{ID: account, Rate: rate, Burst: burst}}}
 	for range hosts {
 		f.hosts = append(f.hosts, New(bound, f.clock.Now()))
-		f.heard = append(f.heard, nil)
+		f.told = append(f.told, nil)
+		f.kept = append(f.kept, make([]*Told, hosts))
 	}
+	f.live = func(int, int) bool { return true }
 	return f
 }
 
@@ -61,21 +67,29 @@
 
 func (f *fleet) share() {
 	for i, h := range f.hosts {
-		var others []map[id.Account]float64
-		silent := 0
+		var p Peers
 		for j := range f.hosts {
-			switch {
-			case j == i:
-			case f.heard[j] == nil:
-				silent++
+			if j == i {
+				continue
+			}
+			live := f.live(i, j)
+			if live {
+				f.kept[i][j] = f.told[j]
+			}
+			switch kept := f.kept[i][j]; {
+			case kept == nil:
+				p.Unheard++
+			case live:
+				p.Live = append(p.Live, *kept)
 			default:
-				others = append(others, f.heard[j])
+				p.Silent = append(p.Silent, *kept)
 			}
 		}
-		h.Step(f.quota, others, silent, f.clock.Now())
+		h.Step(f.quota, p, f.clock.Now())
 	}
 	for i, h := range f.hosts {
-		f.heard[i] = h.Demand()
+		told := h.Tell()
+		f.told[i] = &told
 	}
 }
 
@@ -138,10 +152,34 @@
 	f.run(6*time.Second, load)
 	for i := range f.hosts {
 		f.hosts[i] = New(bound, f.clock.Now())
-		f.heard[i] = nil
+		f.told[i] = nil
+		f.kept[i] = make([]*Told, len(f.hosts))
 	}
 	f.run(6*time.Second, load)
 	if got, want := f.most(), f.allowed(); got > want {
 		t.Errorf("got %d requests in a window, want at most %d", got, want)
 	}
 }
+
+// TestHotAccountDuringAPartition cuts some hosts off from the others just before
+// an account sends several times its usual to all of them.
+func TestHotAccountDuringAPartition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 12
+		rate := rapid.Float64Range(20, 250).Draw(t, "rate")
+		cut := rapid.IntRange(1, 6).Draw(t, "cut")
+		f := newFleet(hosts, rate, rate)
+		calm, hot := make([]float64, hosts), make([]float64, hosts)
+		for i := range calm {
+			calm[i] = rapid.Float64Range(0.2, 1).Draw(t, "calm") * rate / hosts
+			hot[i] = 7 * calm[i]
+		}
+		f.run(6*time.Second, calm)
+		f.live = func(by, of int) bool { return (by < cut) == (of < cut) }
+		f.run(time.Second, calm)
+		f.run(7*time.Second, hot)
+		if got, want := f.most(), f.allowed(); got > want {
+			t.Fatalf("got %d requests in a window, want at most %d", got, want)
+		}
+	})
+}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
@@ -36,8 +37,8 @@
 	Ages map[string]time.Duration
 	// Failing tells that the host cannot read the store.
 	Failing bool
-	// Demand is the requests a second of each account that reach the host.
-	Demand map[id.Account]float64
+	// Quota is what the host tells of the accounts' quotas.
+	Quota quota.Told
 	// Requests is the requests a second that reach the host.
 	Requests float64
 	// Outcomes are those of the services whose release changes.
