Explain a request from the logs of all hosts; bound lines for each reason

Change: each reason has its own bound (20 lines a second, 60 for what went well), gaps are told; lines name the owner's rank, the load seen and its age; celerypin explain ID FILE...

--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -11,23 +12,25 @@
 )
 
 // requestLog writes one line for each decision on a request, within a bound
-// for each reason: failures and refusals have more room than what went well.
+// for each reason, so that many of one kind do not hide a few of another.
+// Failures and refusals have more room than what went well.
 type requestLog struct {
 	log     *logging.Log
 	clock   clock.Clock
-	windows [2]window
+	windows map[steer.Reason]*window
+	// again is the window of requests that were served after several attempts.
+	again window
 }
 
-// Lines a second of each kind; the rest is counted and told with the next line.
+// Lines a second for each reason: all of them at the usual load of a host, which is
+// about 50 requests a second. The rest is counted and told with the next line.
 const (
-	usualLines   = 4
+	usualLines   = 60
 	unusualLines = 20
 )
 
-const (
-	usual = iota
-	unusual
-)
+// longestAge is told for the load of an upstream that has told none.
+const longestAge = time.Minute
 
 // window counts the lines of one second.
 type window struct {
@@ -50,23 +53,31 @@
 }
 
 func newRequestLog(log *logging.Log, c clock.Clock) *requestLog {
-	return &requestLog{log: log, clock: c}
+	l := &requestLog{log: log, clock: c, windows: map[steer.Reason]*window{}}
+	for _, reason := range steer.Reasons {
+		l.windows[reason] = &window{}
+	}
+	return l
 }
 
 // decided writes the line of one decision.
 func (l *requestLog) decided(r *steer.Request, d *steer.Decision[*http1.Answer], took time.Duration) {
-	kind, limit := usual, int64(usualLines)
-	if d.Fate != steer.Delivered || d.Attempts > 1 {
-		kind, limit = unusual, unusualLines
+	room, limit := l.windows[d.Reason], int64(unusualLines)
+	switch {
+	case d.Reason == steer.ReasonNone && d.Attempts > 1:
+		room = &l.again
+	case d.Reason == steer.ReasonNone:
+		limit = usualLines
 	}
-	skipped, ok := l.windows[kind].admit(limit, l.clock.Now())
+	skipped, ok := room.admit(limit, l.clock.Now())
 	if !ok {
 		return
 	}
 	line := l.log.With("attempt_id", r.Attempt).With("route", d.Route).With("state_version", d.Version).
 		With("account", d.Account).With("service", d.Service).With("release", d.Release).With("upstream", d.Upstream).
 		With("attempts", d.Attempts).With("took_ms", took.Milliseconds()).With("left_ms", d.Left.Milliseconds()).
-		With("expected_ms", d.Expected.Milliseconds()).With("object", r.Object).With("warm", d.Warm)
+		With("expected_ms", d.Expected.Milliseconds()).With("object", r.Object).With("warm", d.Warm).
+		With("rank", d.Rank).With("load", math.Round(d.Load*10)/10).With("load_age_ms", min(d.LoadAge, longestAge).Milliseconds())
 	if d.Reason != steer.ReasonNone {
 		line = line.With("reason", d.Reason).With("retry_after_ms", d.RetryAfter.Milliseconds())
 	}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,34 @@
+package explain
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"testing"
+
+	"celerypin.example/celerypin/internal/golden"
+)
+
+func TestRequestIsExplained(t *testing.T) {
+	f, err := os.Open("testdata/host.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines, err := Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found, err := Request(lines, "a-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := Write(&out, found); err != nil {
+		t.Fatal(err)
+	}
+	golden.Check(t, "explained.golden", out.Bytes())
+	if _, err := Request(lines, "a-9"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("got %v, want %v", err, ErrNotFound)
+	}
+}
--- a/internal/layers/layers.go
+++ b/internal/layers/layers.go
@@ -30,6 +30,7 @@
 	{"platform/", Protocol},
 	{"internal/transport/", Transport},
 	{"internal/edge/", Assembly},
+	{"internal/explain/", Assembly},
 	{"internal/daemon/", Assembly},
 	{"internal/standin/", Assembly},
 	{"internal/demo/", Assembly},
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -193,6 +193,18 @@
 	wait, trip, work time.Duration
 	// slow is how many times longer the upstream takes than others.
 	slow float64
+	// rank is the upstream's place in the order of ownership, 0 for the owner.
+	rank int
+	load float64
+}
+
+// Rank returns the upstream's place in the order of ownership, 0 for the owner.
+func (c *Choice) Rank() int { return c.rank }
+
+// Load returns the load that the upstream was taken to have, and the age of its
+// last report.
+func (c *Choice) Load(now clock.Instant) (load float64, age time.Duration) {
+	return c.load, now.Sub(clock.Instant(c.Upstream.reportedAt.Load()))
 }
 
 // Expected returns the time that the answer is expected to take.
@@ -367,6 +379,9 @@
 			// A slow owner is no reason to keep others from learning the object.
 			penalty = coldPenalty / max(u.slow(now), 1)
 		}
+		if c != nil {
+			c.rank = i
+		}
 		switch {
 		case c == nil:
 		case c.Expected() <= a.Left && cost < bestCost:
@@ -415,7 +430,7 @@
 	trip := p.trip(u)
 	c := &Choice{
 		Upstream: u, object: object, timing: t, known: known,
-		wait: time.Duration(wait), trip: trip, work: time.Duration(work), slow: slow,
+		wait: time.Duration(wait), trip: trip, work: time.Duration(work), slow: slow, load: load,
 	}
 	cost := wait + work + float64(trip)
 	if !known {
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -88,23 +88,28 @@
 // Reason tells why a request is not answered by an upstream.
 type Reason string
 
-// Reasons.
+// The reasons; ReasonNone is that of a delivered answer.
 const (
-	ReasonNone         Reason = ""
-	ReasonNoState      Reason = "no_desired_state"
-	ReasonNoRoute      Reason = "no_route"
-	ReasonKey          Reason = "key_unknown"
-	ReasonQuota        Reason = "quota"
-	ReasonFull         Reason = "upstreams_full"
-	ReasonAbsent       Reason = "no_upstream"
-	ReasonShed         Reason = "upstreams_shed"
-	ReasonUnreachable  Reason = "upstreams_unreachable"
-	ReasonLate         Reason = "deadline"
-	ReasonLost         Reason = "answer_lost"
-	ReasonClientLeft   Reason = "client_left"
-	ReasonNotPermitted Reason = "retry_not_permitted"
+	ReasonNone        Reason = ""
+	ReasonNoState     Reason = "no_desired_state"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonKey         Reason = "key_unknown"
+	ReasonQuota       Reason = "quota"
+	ReasonFull        Reason = "upstreams_full"
+	ReasonAbsent      Reason = "no_upstream"
+	ReasonShed        Reason = "upstreams_shed"
+	ReasonUnreachable Reason = "upstreams_unreachable"
+	ReasonLate        Reason = "deadline"
+	ReasonLost        Reason = "answer_lost"
+	ReasonClientLeft  Reason = "client_left"
 )
 
+// Reasons lists them all.
+var Reasons = []Reason{
+	ReasonNone, ReasonNoState, ReasonNoRoute, ReasonKey, ReasonQuota, ReasonFull, ReasonAbsent, ReasonShed, ReasonUnreachable,
+	ReasonLate, ReasonLost, ReasonClientLeft,
+}
+
 // Fate is the kind of a decision's outcome.
 type Fate int
 
@@ -145,6 +150,11 @@
 	Expected time.Duration
 	// Warm tells whether the upstream was expected to know the object.
 	Warm bool
+	// Rank is the upstream's place in the order of ownership; Load is what it was
+	// taken to have, LoadAge the age of its last report.
+	Rank    int
+	Load    float64
+	LoadAge time.Duration
 	// ShareRate and ShareBurst are this host's part of the account's quota, if
 	// that decided.
 	ShareRate, ShareBurst float64
--- a/pkg/coordination/steer/work.go
+++ b/pkg/coordination/steer/work.go
@@ -144,6 +144,8 @@
 	w.decision.Attempts++
 	w.decision.Upstream = c.Upstream.Info.ID
 	w.decision.Expected, w.decision.Warm = c.Expected(), c.Warm()
+	w.decision.Rank = c.Rank()
+	w.decision.Load, w.decision.LoadAge = c.Load(w.Clock.Now())
 	w.tried = append(w.tried, c.Upstream)
 	order := Order{Upstream: c.Upstream, Remaining: left, Fresh: w.fresh}
 	if w.account != nil {
