--- /dev/null
+++ b/internal/edge/measures_test.go
@@ -0,0 +1,33 @@
+package edge
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+
+	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/platform"
+)
+
+// TestMetricsPageNamesAllFigures holds docs/METRICS.md to the code.
+func TestMetricsPageNamesAllFigures(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := New(platform.Settings{Host: "a", Region: "r", FailureDomain: "d"}, clock.System{}, logging.Discard())
+	defer e.mesh.Close()
+	seen := 0
+	e.metrics.(metrics.Registry).Each(func(name string, _ any) {
+		seen++
+		if !strings.Contains(string(page), "`"+name+"`") {
+			t.Errorf("got no %q on the page, want every figure", name)
+		}
+	})
+	if want := strings.Count(string(page), "| `") + 1; seen != want {
+		t.Errorf("got %d figures, want the %d of the page", seen, want)
+	}
+}
--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -85,7 +86,7 @@
 		line = line.With("share_rate", d.ShareRate).With("share_burst", d.ShareBurst)
 	}
 	if d.Err != nil {
-		line = line.With("error", d.Err.Error())
+		line = line.With("error", strings.ReplaceAll(d.Err.Error(), "\n", ": "))
 	}
 	if skipped > 0 {
 		line = line.With("lines_skipped", skipped)
--- a/internal/transport/http1/pool_test.go
+++ b/internal/transport/http1/pool_test.go
@@ -180,7 +180,8 @@
 // it is read, and read it afterwards: it must get the rest of it, and no other
 // request in its place.
 func TestRestOfABodyFollowsAnEarlyAnswer(t *testing.T) {
-	const size = 400 << 10
+	// More than the buffers of both sockets hold.
+	const size = 32 << 20
 	read := make(chan int, 1)
 	u := newUpstream(t, func(n int, conn net.Conn, in *bufio.Reader) {
 		request, err := http.ReadRequest(in)
