Remove rows of gone hosts, look at changed settings, bear a time of day set back

Cause: incarnations follow the time of day; a host that restarted while it was set back was taken for an old one and never heard again. Rows of removed hosts stayed, each keeping an even part of every quota from hosts that start later. Settings that change without a signal were not read. Change: after 0.7 s of silence any incarnation is new; the host that leads removes rows of hosts silent for three minutes; the settings file is looked at every three seconds. Tests: TestTimeOfDaySetBackHidesNoHost (seen failing), TestRemovedHostIsForgottenByThoseWhoHearOthers.

--- a/cmd/celerypin/cmds/serve.go
+++ b/cmd/celerypin/cmds/serve.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"os"
@@ -85,6 +86,9 @@
 	// before it collects harder; the rest is for sockets and stacks.
 	memoryPart = 0.6
 	mebibyte   = 1 << 20
+	// reloadInterval is how often the settings file is looked at; it may change
+	// without a signal.
+	reloadInterval = 3 * time.Second
 	// logPatience is how long the last lines may take to be written.
 	logPatience = 200 * time.Millisecond
 )
@@ -119,8 +123,11 @@
 	}
 }
 
-// runUntilStopped reloads the settings at SIGHUP and stops at the other signals.
+// runUntilStopped reloads changed settings, at SIGHUP and at intervals, and
+// stops at the other signals.
 func runUntilStopped(ctx context.Context, e *edge.Edge, signals <-chan os.Signal, path string, log *logging.Log) error {
+	file := &settingsFile{path: path, log: log}
+	file.changed()
 	for {
 		select {
 		case <-ctx.Done():
@@ -129,17 +136,45 @@
 		case <-e.Dead():
 			log.With("error", e.Err()).Error("A part has failed.")
 			return e.Err()
+		case <-time.After(reloadInterval):
+			if next, ok := file.changed(); ok {
+				e.Reload(next)
+			}
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				e.Stop()
 				return nil
 			}
-			next, err := platform.ReadSettings(path)
-			if err != nil {
-				log.With("error", err.Error()).Error("The changed settings are not usable; the last ones stay in force.")
-				continue
+			log.Info("Got SIGHUP.")
+			if next, ok := file.changed(); ok {
+				e.Reload(next)
 			}
-			e.Reload(next)
 		}
 	}
 }
+
+// settingsFile notices changes of the settings.
+type settingsFile struct {
+	path string
+	log  *logging.Log
+	last []byte
+}
+
+// changed returns the settings if they have changed since the last call and are usable.
+func (f *settingsFile) changed() (platform.Settings, bool) {
+	data, err := os.ReadFile(f.path)
+	if err != nil {
+		f.log.With("error", err.Error()).Error("The settings file cannot be read; the last settings stay in force.")
+		return platform.Settings{}, false
+	}
+	if bytes.Equal(data, f.last) {
+		return platform.Settings{}, false
+	}
+	f.last = data
+	next, err := platform.ParseSettings(data)
+	if err != nil {
+		f.log.With("error", err.Error()).Error("The changed settings are not usable; the last ones stay in force.")
+		return platform.Settings{}, false
+	}
+	return next, true
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,8 +43,8 @@
 	headerTime       = 5 * time.Second
 	// noticePart and finishPart are parts of the time between SIGTERM and SIGKILL:
 	// until when connections are accepted, and until when requests may run.
-	noticePart = 0.55
-	finishPart = 0.9
+	noticePart = 0.5
+	finishPart = 0.8
 	// connectionsInterval is the interval at which idle connections are looked at.
 	connectionsInterval = 2 * time.Second
 )
@@ -106,7 +106,7 @@
 	e.recorder = release.NewRecorder(e.splits)
 	e.placer = place.New(s.Region, s.FailureDomain)
 	e.shares = quota.New(quota.Bound{Window: s.Bounds.QuotaWindow, Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack}, now)
-	e.roster = roster.New(self)
+	e.roster = roster.New(self, now)
 	e.pool = http1.NewPool(http1.NewDialer(dialTimeout), c)
 	e.store = platform.NewStore(s.Store, &http.Transport{
 		DialContext: http1.NewDialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true,
@@ -235,7 +235,6 @@
 	finish, cancel := context.WithTimeout(context.Background(), left)
 	e.front.Stop(finish)
 	cancel()
-	e.keeper.depart()
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
--- a/internal/edge/measures_test.go
+++ b/internal/edge/measures_test.go
@@ -5,8 +5,6 @@
 	"strings"
 	"testing"
 
-	"github.com/rcrowley/go-metrics"
-
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/platform"
@@ -21,7 +19,7 @@
 	e := New(platform.Settings{Host: "a", Region: "r", FailureDomain: "d"}, clock.System{}, logging.Discard())
 	defer e.mesh.Close()
 	seen := 0
-	e.metrics.(metrics.Registry).Each(func(name string, _ any) {
+	e.metrics.Each(func(name string, _ any) {
 		seen++
 		if !strings.Contains(string(page), "`"+name+"`") {
 			t.Errorf("got no %q on the page, want every figure", name)
--- /dev/null
+++ b/pkg/coordination/place/hash.go
@@ -0,0 +1,32 @@
+package place
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rendezvous returns a score that is highest with a probability in proportion to weight.
+func rendezvous(hash uint64, weight float64) float64 {
+	return -weight / math.Log(unit(mix(hash)))
+}
+
+const regionSeed = 0x9e3779b97f4a7c15
+
+// unit maps a hash into the open interval between 0 and 1.
+func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
+// mix spreads the bits of a combined hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// objectHash names the object of a request on its route. A request without an
+// object counts as one about the route.
+func objectHash(a *Ask) uint64 {
+	return xxhash.Sum64String(string(a.Route.Name)+"\x00"+string(a.Object)) | 1
+}
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"celerypin.example/celerypin/pkg/state/clock"
-	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/rcu"
@@ -102,25 +101,6 @@
 	return u
 }
 
-// goalOf returns the part of the region's requests that its upstreams can
-// carry, if the regions share the load according to their room.
-func (p *Placer) goalOf(s *pool, demand map[id.Region]float64) float64 {
-	total, local := 0.0, 0.0
-	for _, u := range s.all {
-		if u.Info.State != fleet.UpstreamLive {
-			continue
-		}
-		total += float64(u.Info.Slots)
-		if u.Info.Region == p.region {
-			local += float64(u.Info.Slots)
-		}
-	}
-	if total == 0 || demand[p.region] <= 0 {
-		return 1
-	}
-	return min(1, spreadMargin*(local/total)/demand[p.region])
-}
-
 // Upstreams returns all upstreams of all services.
 func (p *Placer) Upstreams() []*Upstream {
 	var out []*Upstream
@@ -141,101 +121,6 @@
 	return out
 }
 
-// Ask is what a request needs.
-type Ask struct {
-	Service id.Service
-	Release id.Release
-	Route   *desired.Route
-	Object  id.Object
-	// Homes are the regions that may serve the request, if HasHomes.
-	Homes    []id.Region
-	HasHomes bool
-	// Left is the time until the request must be answered.
-	Left time.Duration
-	// Tried are the upstreams that the request was sent to already.
-	Tried []*Upstream
-	// BodyBytes is the size of the request's body.
-	BodyBytes int64
-}
-
-func (a *Ask) allows(region id.Region) bool { return !a.HasHomes || slices.Contains(a.Homes, region) }
-
-func (a *Ask) tried(u *Upstream) bool {
-	for _, t := range a.Tried {
-		if t.knowledge == u.knowledge {
-			return true
-		}
-	}
-	return false
-}
-
-// Verdict tells why no upstream was chosen.
-type Verdict int
-
-// Verdicts of Choose.
-const (
-	Chosen Verdict = iota
-	// Full means that upstreams exist, but none can answer in time.
-	Full
-	// Absent means that there is no upstream that may serve the request.
-	Absent
-)
-
-// Choice is the upstream for a request, with a slot taken there. Done must be
-// called on it.
-type Choice struct {
-	Upstream *Upstream
-	object   uint64
-	timing   *timing
-	known    bool
-	// wait is the expected time in the upstream's queue, trip that of the network,
-	// work that of the request itself; wait and work include slow.
-	wait, trip, work time.Duration
-	// slow is how many times longer the upstream takes than others.
-	slow float64
-	// rank is the upstream's place in the order of ownership, 0 for the owner.
-	rank int
-	load float64
-}
-
-// Rank returns the upstream's place in the order of ownership, 0 for the owner.
-func (c *Choice) Rank() int { return c.rank }
-
-// Load returns the load that the upstream was taken to have, and the age of its
-// last report.
-func (c *Choice) Load(now clock.Instant) (load float64, age time.Duration) {
-	return c.load, now.Sub(clock.Instant(c.Upstream.reportedAt.Load()))
-}
-
-// Expected returns the time that the answer is expected to take.
-func (c *Choice) Expected() time.Duration { return c.trip + c.wait + c.work }
-
-// Warm tells whether the upstream is expected to know the object.
-func (c *Choice) Warm() bool { return c.known }
-
-// Relative returns how long an answer took as if the object had been warm, to
-// compare upstreams whatever they have served before.
-func (c *Choice) Relative(took time.Duration) time.Duration {
-	if c.known {
-		return took
-	}
-	return time.Duration(float64(took) * float64(c.timing.warm.Load()) / float64(max(c.timing.cold.Load(), 1)))
-}
-
-// Done gives the slot back.
-func (c *Choice) Done() { c.Upstream.inFlight.Add(-1) }
-
-// Served records an answer.
-func (c *Choice) Served(took time.Duration, now clock.Instant) {
-	work := max(took-c.wait-c.trip, time.Millisecond)
-	if !c.Upstream.Cold(now) {
-		c.timing.observe(c.known, time.Duration(float64(work)/max(c.slow, 1)))
-	}
-	// What is learned of the upstream is compared with what others would take.
-	usual := c.trip + time.Duration(float64(c.wait+c.work)/c.slow)
-	c.Upstream.Serve(c.object, took, usual, now)
-}
-
 const (
 	// candidates is how many upstreams in the order of ownership are compared.
 	candidates = 2
@@ -297,71 +182,6 @@
 	return nil, Full
 }
 
-// mayMove tells whether a request may run in another region than the spread
-// says: if the own region has no upstream left, and else for a few requests,
-// so that what does not fit is served without moving much at once.
-func (p *Placer) mayMove(s *pool, to id.Region, g group) bool {
-	if !hasLive(g[p.region]) || !hasLive(g[to]) {
-		return true
-	}
-	return s.spread.overflow.Take()
-}
-
-// regions returns the regions to try: the one that the object falls to first.
-func (p *Placer) regions(s *pool, g group, a *Ask, object uint64) []id.Region {
-	var allowed []id.Region
-	for region, list := range g {
-		if a.allows(region) && hasLive(list) {
-			allowed = append(allowed, region)
-		}
-	}
-	// Upstreams that are passed over for a moment count, or objects would move.
-	weight := func(region id.Region) float64 {
-		slots := 0
-		for _, u := range g[region] {
-			if u.Info.State == fleet.UpstreamLive {
-				slots += u.Info.Slots
-			}
-		}
-		if region == p.region {
-			return math.Inf(1)
-		}
-		return rendezvous(xxhash.Sum64String(string(region))^object, float64(slots))
-	}
-	scores := map[id.Region]float64{}
-	for _, r := range allowed {
-		scores[r] = weight(r)
-	}
-	slices.SortFunc(allowed, func(x, y id.Region) int {
-		switch {
-		case scores[x] > scores[y]:
-			return -1
-		case scores[x] < scores[y]:
-			return 1
-		default:
-			return 0
-		}
-	})
-	local := len(allowed) > 1 && allowed[0] == p.region
-	stays := s.spread.load()
-	if a.BodyBytes >= heavyBody {
-		stays *= heavyStays
-	}
-	if local && unit(mix(object^regionSeed)) >= stays {
-		allowed = append(allowed[1:], p.region)
-	}
-	return allowed
-}
-
-func hasLive(list []*Upstream) bool {
-	for _, u := range list {
-		if u.Info.State == fleet.UpstreamLive && !u.leaving.Load() {
-			return true
-		}
-	}
-	return false
-}
-
 // best returns the upstream that is expected to answer first, of those that
 // come first in the order of ownership. An upstream that is cold is only taken
 // within its bound. If none is expected to answer in time, one with a free slot
@@ -478,28 +298,3 @@
 	}
 	return out
 }
-
-// rendezvous returns a score that is highest with a probability in proportion to weight.
-func rendezvous(hash uint64, weight float64) float64 {
-	return -weight / math.Log(unit(mix(hash)))
-}
-
-const regionSeed = 0x9e3779b97f4a7c15
-
-// unit maps a hash into the open interval between 0 and 1.
-func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
-
-// mix spreads the bits of a combined hash.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
-// objectHash names the object of a request on its route. A request without an
-// object counts as one about the route.
-func objectHash(a *Ask) uint64 {
-	return xxhash.Sum64String(string(a.Route.Name)+"\x00"+string(a.Object)) | 1
-}
--- a/pkg/coordination/rollout/tally.go
+++ b/pkg/coordination/rollout/tally.go
@@ -25,13 +25,10 @@
 
 func (t *tally) hear(host id.Host, inc id.Incarnation, counts map[release.Subject]release.Counts) {
 	l := t.hosts[host]
-	if l == nil || l.incarnation < inc {
+	if l == nil || l.incarnation != inc {
 		l = &last{incarnation: inc, counts: map[release.Subject]release.Counts{}}
 		t.hosts[host] = l
 	}
-	if l.incarnation > inc {
-		return
-	}
 	for subject, c := range counts {
 		before := l.counts[subject]
 		if c.Requests < before.Requests || c.Failed < before.Failed || c.Slow < before.Slow {
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -49,8 +49,14 @@
 
 // Times after which a silent host counts as less.
 const (
+	// restartTime is less than a process takes to end and start, and more than a
+	// digest is under way.
+	restartTime = 700 * time.Millisecond
 	// liveFor is a few intervals between digests; a lossy link may lose one.
 	liveFor = 2 * time.Second
+	// forgetAfter is how long a listed host may be silent before its row is removed;
+	// it announces itself again if it returns.
+	forgetAfter = 3 * time.Minute
 	// reservedFor is how long a silent host is taken to use its shares: it may
 	// serve on behind a partition.
 	reservedFor = 40 * time.Second
@@ -59,6 +65,7 @@
 // Roster is safe for concurrent use.
 type Roster struct {
 	self    Member
+	started clock.Instant
 	mu      sync.Mutex
 	listed  map[id.Host]Member
 	digests map[id.Host]heard
@@ -70,8 +77,8 @@
 }
 
 // New returns the roster of a host that knows only itself.
-func New(self Member) *Roster {
-	return &Roster{self: self, listed: map[id.Host]Member{}, digests: map[id.Host]heard{}}
+func New(self Member, now clock.Instant) *Roster {
+	return &Roster{self: self, started: now, listed: map[id.Host]Member{}, digests: map[id.Host]heard{}}
 }
 
 // SetListed replaces the hosts that the store lists.
@@ -86,6 +93,26 @@
 	}
 }
 
+// Forgotten returns the listed hosts that were silent for so long that they are
+// taken to be removed for good. While no other host is heard, this one may be
+// the one that is cut off.
+func (r *Roster) Forgotten(now clock.Instant) []id.Host {
+	if now.Sub(r.started) < forgetAfter || len(r.Live(now)) == 0 {
+		return nil
+	}
+	heard := map[id.Host]bool{}
+	for _, d := range r.within(forgetAfter, now) {
+		heard[d.Host.ID] = true
+	}
+	var out []id.Host
+	for _, m := range r.Listed() {
+		if !heard[m.ID] {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // Listed returns the other hosts that the store lists.
 func (r *Roster) Listed() []Member {
 	r.mu.Lock()
@@ -98,11 +125,14 @@
 	return out
 }
 
-// Hear takes a digest. Older ones than the last change nothing.
+// Hear takes a digest. Older ones than the last change nothing, but incarnations
+// follow the time of day, which may be set back: once a host has been silent for
+// a while, whatever it says is new.
 func (r *Roster) Hear(d Digest, now clock.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, known := r.digests[d.Host.ID]
+	known = known && now.Sub(old.at) < restartTime
 	if known && (d.Incarnation < old.digest.Incarnation ||
 		(d.Incarnation == old.digest.Incarnation && d.Sequence <= old.digest.Sequence)) {
 		return false
--- a/pkg/coordination/roster/roster_test.go
+++ b/pkg/coordination/roster/roster_test.go
@@ -29,7 +29,7 @@
 	}
 	senders, sum := 0, 0.0
 	for _, m := range members {
-		r := New(m)
+		r := New(m, c.Now())
 		r.SetListed(members)
 		if part := r.ColdShare("u-1", 6, c.Now()); part > 0 {
 			senders++
@@ -48,7 +48,7 @@
 	c := clock.NewFake()
 	self := member("h0", "a", "a1")
 	others := []Member{member("h1", "a", "a1"), member("h2", "a", "a2"), member("h3", "b", "b1")}
-	r := New(self)
+	r := New(self, c.Now())
 	hear := func(seq int, skip string) {
 		for _, m := range others {
 			if string(m.ID) != skip {
@@ -84,7 +84,7 @@
 
 func TestReaderIsTheFirstThatLivesAndCan(t *testing.T) {
 	c := clock.NewFake()
-	r := New(member("h1", "a", "a1"))
+	r := New(member("h1", "a", "a1"), c.Now())
 	first, other := digest(member("h0", "a", "a1"), 1), digest(member("a0", "b", "b1"), 1)
 	r.Hear(first, c.Now())
 	r.Hear(other, c.Now())
@@ -109,7 +109,7 @@
 
 func TestOldDigestChangesNothing(t *testing.T) {
 	c := clock.NewFake()
-	r := New(member("h0", "a", "a1"))
+	r := New(member("h0", "a", "a1"), c.Now())
 	m := member("h1", "a", "a1")
 	newer := digest(m, 5)
 	newer.Leaving = true
@@ -124,9 +124,47 @@
 	}
 }
 
+// TestTimeOfDaySetBackHidesNoHost restarts a host while its time of day is
+// behind, so that its new incarnation seems older.
+func TestTimeOfDaySetBackHidesNoHost(t *testing.T) {
+	c := clock.NewFake()
+	r := New(member("h0", "a", "a1"), c.Now())
+	m := member("h1", "a", "a1")
+	d := digest(m, 9)
+	d.Incarnation = 5000
+	r.Hear(d, c.Now())
+	c.Advance(time.Second)
+	d.Incarnation, d.Sequence = 2600, 1
+	if got := r.Hear(d, c.Now()); !got {
+		t.Error("got the restarted host's digest dropped, want it taken")
+	}
+	c.Advance(100 * time.Millisecond)
+	d.Incarnation, d.Sequence = 2500, 7
+	if got := r.Hear(d, c.Now()); got {
+		t.Error("got a digest of an earlier incarnation taken at once, want it dropped")
+	}
+}
+
+func TestRemovedHostIsForgottenByThoseWhoHearOthers(t *testing.T) {
+	c := clock.NewFake()
+	alone, among := New(member("h0", "a", "a1"), c.Now()), New(member("h0", "a", "a1"), c.Now())
+	lives, gone := member("h1", "a", "a1"), member("h2", "a", "a1")
+	for _, r := range []*Roster{alone, among} {
+		r.SetListed([]Member{lives, gone})
+	}
+	c.Advance(forgetAfter + time.Second)
+	among.Hear(digest(lives, 1), c.Now())
+	if got := alone.Forgotten(c.Now()); len(got) != 0 {
+		t.Errorf("hears nobody: got %v forgotten, want none", got)
+	}
+	if got, want := among.Forgotten(c.Now()), []id.Host{"h2"}; !slices.Equal(got, want) {
+		t.Errorf("got %v forgotten, want %v", got, want)
+	}
+}
+
 func TestSilentHostKeepsItsShares(t *testing.T) {
 	c := clock.NewFake()
-	r := New(member("h0", "a", "a1"))
+	r := New(member("h0", "a", "a1"), c.Now())
 	m := member("h1", "b", "b1")
 	r.SetListed([]Member{m, member("h2", "b", "b1")})
 	r.Hear(digest(m, 1), c.Now())
