Use more of the repeat budget's ratio, and less of its reserve

Cause: while all upstreams of a service shed almost half of the requests, a second attempt was bounded to 0.15 of the requests although 0.2 are allowed; the reserve of many hosts filled the rest. Change: 0.95 of the ratio; 0.45 of the number beyond it, over at least eight hosts.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,11 +52,12 @@
 // Limits that hold until the first desired state is known.
 var firstLimits = http1.Limits{HeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
 
-// Repeats: a host plans for less than its part of the bound, because the hosts
-// do not see each other's, and for at least a few hosts.
+// Repeats: the ratio is each host's own, but the number beyond it is that of all
+// hosts, which do not see each other's; it is divided by the fewest of them.
 const (
-	repeatMargin = 0.75
-	fewestHosts  = 8
+	repeatRatioPart   = 0.95
+	repeatReservePart = 0.45
+	fewestHosts       = 8
 )
 
 // Edge is one entry host. New opens its listeners, Start begins its life, and
@@ -118,8 +119,8 @@
 	e.steerer = steer.New(steer.Parts[*http1.Answer]{
 		State: e.state, Shares: e.shares, Placer: e.placer, Splits: e.splits, Recorder: e.recorder, Approved: e.approvedOf,
 		Sender: &sender{pool: e.pool}, Clock: c,
-		RepeatRatio:   s.Bounds.RetryRatio * repeatMargin,
-		RepeatReserve: s.Bounds.RetryExtra * repeatMargin / fewestHosts,
+		RepeatRatio:   s.Bounds.RetryRatio * repeatRatioPart,
+		RepeatReserve: s.Bounds.RetryExtra * repeatReservePart / fewestHosts,
 	})
 	e.front = http1.NewServer(&handler{edge: e, log: newRequestLog(log.Part("request"), c)}, e.limits, c)
 	return e
