Send a full listing to copies that are older than the last one here

Cause: found by TestCopiesAgree under the race detector: a copy that listed a table after a row was deleted does not know the deletion; what it relayed made an older copy complete without it, so that a deleted row (an evacuation, a key's state, an upstream) stayed for good. The reader also sent only the rows that were new to itself. Change: copies remember the version of their last listing and send older copies a full listing; the reader sends all rows of a feed. It now repeats until the recorded answer comes and takes nothing but already_taken meanwhile.

--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -134,14 +134,28 @@
 	if served == 0 {
 		t.Error("got no answer served, want at least one")
 	}
-	if got := d.post(1, "/once/swap", "swap-1", "vases"); got.StatusCode != http.StatusOK || got.Header.Get("Celerypin-Replayed") != "true" {
-		t.Errorf("got %d %s for a later repeat, want the recorded answer", got.StatusCode, got.body)
-	}
+	d.awaitRecorded(t)
 	if got := d.executions("swaps-1", "swap-1"); got != 1 {
 		t.Errorf("got %d executions, want 1", got)
 	}
 }
 
+// awaitRecorded repeats the swap until its recorded answer comes. The answer is
+// written in the background; until then, and only then, a repeat is told that
+// the request was taken.
+func (d *deployment) awaitRecorded(t *testing.T) {
+	t.Helper()
+	for until := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		got := d.post(1, "/once/swap", "swap-1", "vases")
+		if got.StatusCode == http.StatusOK && got.Header.Get("Celerypin-Replayed") == "true" {
+			return
+		}
+		if got.StatusCode != http.StatusConflict || !strings.Contains(got.body, "already_taken") || time.Now().After(until) {
+			t.Fatalf("got %d %s for a later repeat, want the recorded answer", got.StatusCode, got.body)
+		}
+	}
+}
+
 func (d *deployment) executions(worker, request string) int {
 	n := 0
 	for id, w := range d.workers {
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -43,7 +43,7 @@
 	// reading tells whether this host reads for its region.
 	reading atomic.Bool
 	// brought gives the rows that were read to the other hosts of the region.
-	brought func(name platform.Table, rows []mirror.Row, base, version mirror.Version)
+	brought func(name platform.Table, changes mirror.Changes)
 
 	mu sync.Mutex
 	// pending holds the changes that the keeper has not taken yet.
@@ -130,8 +130,9 @@
 		if err == nil {
 			table.freshAt.Store(int64(c.clock.Now()))
 			changed := table.Apply(rows, after, version)
-			if len(changed) > 0 && c.reading.Load() {
-				c.brought(name, changed, after, version)
+			// Rows that came here another way may be new to the others.
+			if len(rows) > 0 && c.reading.Load() {
+				c.brought(name, mirror.Changes{Rows: rows, Base: after, Version: version})
 			}
 			return changed, nil
 		}
@@ -186,12 +187,12 @@
 }
 
 // relayed takes rows that another host has sent.
-func (c *copies) relayed(name platform.Table, rows []mirror.Row, base, version mirror.Version) bool {
+func (c *copies) relayed(name platform.Table, changes mirror.Changes) bool {
 	table := c.tables[name]
 	if table == nil {
 		return false
 	}
-	changed := table.Apply(rows, base, version)
+	changed := table.Take(changes)
 	c.add(name, changed)
 	return len(changed) > 0
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -45,7 +45,7 @@
 		k.relay(from, m.Digest)
 		return
 	}
-	if m.Rows != nil && k.edge.copies.relayed(platform.Table(m.Rows.Table), m.Rows.Rows, m.Rows.Base, m.Rows.Version) {
+	if m.Rows != nil && k.edge.copies.relayed(platform.Table(m.Rows.Table), m.Rows.Changes) {
 		k.log.With("from", from).With("table", m.Rows.Table).With("rows", len(m.Rows.Rows)).
 			With("version", m.Rows.Version).Debug("Rows came from another host.")
 		k.wake()
@@ -68,17 +68,16 @@
 		if table.Version() <= theirs || !k.mayRelay(relayKey{to, string(name)}, now) {
 			continue
 		}
-		rows, version := table.Since(theirs)
-		k.edge.mesh.Send(to, gossip.Message{Rows: &gossip.Rows{Table: string(name), Base: theirs, Version: version, Rows: rows}})
+		k.edge.mesh.Send(to, gossip.Message{Rows: &gossip.Rows{Table: string(name), Changes: table.Since(theirs)}})
 	}
 }
 
 // bring sends rows that were read to the other hosts of the region.
-func (k *keeper) bring(name platform.Table, rows []mirror.Row, base, version mirror.Version) {
+func (k *keeper) bring(name platform.Table, changes mirror.Changes) {
 	now := k.edge.clock.Now()
 	for _, d := range k.edge.roster.Live(now) {
 		if d.Host.Region == k.self.Region {
-			k.edge.mesh.Send(d.Host.ID, gossip.Message{Rows: &gossip.Rows{Table: string(name), Base: base, Version: version, Rows: rows}})
+			k.edge.mesh.Send(d.Host.ID, gossip.Message{Rows: &gossip.Rows{Table: string(name), Changes: changes}})
 		}
 	}
 }
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -23,12 +23,10 @@
 // ErrEmpty is returned for a message without content.
 var ErrEmpty = errors.New("message holds nothing")
 
-// Rows are the rows of a table that changed in (Base, Version].
+// Rows are what has changed in a table.
 type Rows struct {
-	Table   string
-	Base    mirror.Version
-	Version mirror.Version
-	Rows    []mirror.Row
+	Table string
+	mirror.Changes
 }
 
 // Message is one of its fields.
@@ -89,6 +87,7 @@
 	Table   string         `cbor:"table"`
 	Base    mirror.Version `cbor:"base"`
 	Version mirror.Version `cbor:"version"`
+	Full    bool           `cbor:"full,omitempty"`
 	Rows    []row          `cbor:"rows"`
 }
 
@@ -112,7 +111,7 @@
 		e.Digest = digestToWire(m.Digest)
 	}
 	if m.Rows != nil {
-		e.Rows = &rows{Table: m.Rows.Table, Base: m.Rows.Base, Version: m.Rows.Version}
+		e.Rows = &rows{Table: m.Rows.Table, Base: m.Rows.Base, Version: m.Rows.Version, Full: m.Rows.Full}
 		for _, r := range m.Rows.Rows {
 			e.Rows.Rows = append(e.Rows.Rows, row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 		}
@@ -130,7 +129,7 @@
 		m.Digest = digestFromWire(e.From, e.Digest)
 	}
 	if e.Rows != nil {
-		m.Rows = &Rows{Table: e.Rows.Table, Base: e.Rows.Base, Version: e.Rows.Version}
+		m.Rows = &Rows{Table: e.Rows.Table, Changes: mirror.Changes{Base: e.Rows.Base, Version: e.Rows.Version, Full: e.Rows.Full}}
 		for _, r := range e.Rows.Rows {
 			m.Rows.Rows = append(m.Rows.Rows, mirror.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 		}
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -27,6 +28,9 @@
 	mu      sync.Mutex
 	rows    map[string]Row
 	version Version
+	// listed is the version of the last full listing. What was deleted before it
+	// is not known here row by row.
+	listed Version
 }
 
 // New returns an empty table at version 0.
@@ -71,7 +75,7 @@
 			changed = append(changed, r)
 		}
 	}
-	t.version = version
+	t.version, t.listed = version, version
 	return changed
 }
 
@@ -87,18 +91,39 @@
 	return changed
 }
 
-// Since returns the rows that changed after a version, in the order of versions.
-func (t *Table) Since(after Version) ([]Row, Version) {
+// Changes are rows for another copy.
+type Changes struct {
+	Rows []Row
+	// Base and Version tell what the rows are complete for: all changes after Base
+	// up to Version.
+	Base, Version Version
+	// Full tells that the rows are a full listing as of Version; rows that it lacks
+	// were deleted.
+	Full bool
+}
+
+// Since returns what has changed after a version, in the order of versions. For
+// a copy that is older than the last listing here, that is a full listing,
+// because deletions before it are not known.
+func (t *Table) Since(after Version) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Row
+	c := Changes{Base: after, Version: t.version, Full: after < t.listed}
 	for _, r := range t.rows {
-		if r.Version > after {
-			out = append(out, r)
+		if r.Version > after || (c.Full && !r.Deleted) {
+			c.Rows = append(c.Rows, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b Row) int { return int(a.Version) - int(b.Version) })
-	return out, t.version
+	slices.SortFunc(c.Rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	return c
+}
+
+// Take takes changes that another copy has given.
+func (t *Table) Take(c Changes) []Row {
+	if c.Full {
+		return t.Reset(c.Rows, c.Version)
+	}
+	return t.Apply(c.Rows, c.Base, c.Version)
 }
 
 // Rows returns the rows that exist, by key.
--- a/pkg/state/mirror/mirror_test.go
+++ b/pkg/state/mirror/mirror_test.go
@@ -29,9 +29,7 @@
 			store.Apply([]Row{row}, version-1, version)
 		}
 		read := func(c *Table) {
-			after := c.Version()
-			rows, v := store.Since(after)
-			c.Apply(rows, after, v)
+			c.Take(store.Since(c.Version()))
 		}
 		list := func(c *Table) {
 			var rows []Row
@@ -41,9 +39,7 @@
 			c.Reset(rows, store.Version())
 		}
 		relay := func(from, to *Table) {
-			theirs := to.Version()
-			rows, v := from.Since(theirs)
-			to.Apply(rows, theirs, v)
+			to.Take(from.Since(to.Version()))
 		}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
@@ -69,6 +65,21 @@
 	})
 }
 
+// TestDeletionIsNotLostBehindAListing relays from a copy that was listed after a
+// row was deleted, and never knew the row, to one that has it.
+func TestDeletionIsNotLostBehindAListing(t *testing.T) {
+	old, listed := New(), New()
+	old.Apply([]Row{{Key: "a", Version: 8, Value: []byte("x")}}, 0, 8)
+	listed.Reset(nil, 9)
+	old.Take(listed.Since(old.Version()))
+	if got := len(old.Rows()); got != 0 {
+		t.Errorf("got %d rows after the relay, want none", got)
+	}
+	if got, want := old.Version(), Version(9); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+}
+
 func TestOlderRowDoesNotComeBack(t *testing.T) {
 	c := New()
 	c.Apply([]Row{{Key: "a", Version: 5, Deleted: true}}, 0, 5)
