--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,7 +98,7 @@
 	e.settings.Store(&s)
 	e.measures = newMeasures(e.metrics)
 	self := roster.Member{
-		Host:        fleet.Host{ID: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress},
+		Host:        fleet.Host{ID: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress, Capacity: roster.CapacityOf(s.CPU, s.LinkMbit)},
 		PeerAddress: s.PeerAddress, Incarnation: id.Incarnation(c.Wall().UnixMilli()),
 	}
 	e.state = rcu.New[*desired.State](nil)
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/rollout"
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -19,10 +20,6 @@
 // Intervals of the control loop.
 const (
 	tickInterval = 200 * time.Millisecond
-	// digestInterval is the interval between digests to hosts of the same region;
-	// those of other regions get every farEvery-th one.
-	digestInterval = 250 * time.Millisecond
-	farEvery       = 2
 	// relayPause is the least time between two relays of a table to one host.
 	relayPause = 400 * time.Millisecond
 	// hostPrefix is that of the rows by which hosts find each other, releasePrefix
@@ -47,7 +44,7 @@
 	fleet *upstreamList
 
 	mu    sync.Mutex
-	heard []*roster.Digest
+	heard []heard
 	// sentAt is when rows of a table were last sent to a host.
 	sentAt map[relayKey]clock.Instant
 	// writing holds the keys of the rows that are being written.
@@ -59,13 +56,20 @@
 	orders      map[id.Service]rollout.Order
 	records     map[id.Service]rollout.Record
 	sequence    id.Sequence
-	digestAt    clock.Instant
-	digests     int
+	sentLetters clock.Instant
+	// told is what the other hosts have been told last of the accounts' quotas.
+	told        quota.Told
 	announceAt  clock.Instant
 	pruneAt     clock.Instant
 	releasesNow map[id.Service]id.Release
 }
 
+// heard is what another host said of itself, and of others if it is a hub.
+type heard struct {
+	digest   *roster.Digest
+	bulletin *roster.Bulletin
+}
+
 type relayKey struct {
 	host  id.Host
 	table string
@@ -112,7 +116,7 @@
 }
 
 func (k *keeper) step(ctx context.Context, now clock.Instant) {
-	k.takeDigests(now)
+	k.takeHeard(now)
 	for name, rows := range k.edge.copies.take() {
 		for _, row := range rows {
 			k.takeRow(name, row, now)
@@ -125,9 +129,9 @@
 	k.stepShares(now)
 	k.announce(ctx, now)
 	k.prune(ctx, now)
-	if now.Sub(k.digestAt) >= digestInterval || k.edge.leaving.Load() {
-		k.digestAt = now
-		k.sendDigests(now)
+	if k.edge.roster.Due(k.sentLetters, now) || k.edge.leaving.Load() {
+		k.sentLetters = now
+		k.sendLetters(now)
 	}
 }
 
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -8,6 +8,7 @@
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/unit"
 	"celerypin.example/celerypin/platform"
 )
 
@@ -18,7 +19,9 @@
 	FailureDomain id.FailureDomain `json:"failure_domain"`
 	CallerAddress string           `json:"caller_address"`
 	PeerAddress   string           `json:"peer_address"`
-	Incarnation   id.Incarnation   `json:"incarnation"`
+	// Capacity is in requests a second.
+	Capacity    unit.PerSecond `json:"capacity_per_s"`
+	Incarnation id.Incarnation `json:"incarnation"`
 }
 
 func (k *keeper) takeMembers() {
@@ -34,10 +37,14 @@
 		}
 		member := roster.Member{PeerAddress: m.PeerAddress, Incarnation: m.Incarnation}
 		member.ID, member.Region, member.FailureDomain, member.Address = m.Host, m.Region, m.FailureDomain, m.CallerAddress
+		member.Capacity = m.Capacity
 		members = append(members, member)
-		k.edge.mesh.SetAddress(m.Host, m.PeerAddress)
 	}
-	k.edge.roster.SetListed(members)
+	if k.edge.roster.SetListed(members) {
+		for _, m := range members {
+			k.edge.mesh.SetAddress(m.ID, m.PeerAddress)
+		}
+	}
 }
 
 // announce writes this host's row until that has succeeded.
@@ -49,7 +56,7 @@
 	k.announceAt = now.Add(announceInterval)
 	data, err := json.Marshal(memberRow{
 		Host: k.self.ID, Region: k.self.Region, FailureDomain: k.self.FailureDomain, CallerAddress: k.self.Address,
-		PeerAddress: k.self.PeerAddress, Incarnation: k.self.Incarnation,
+		PeerAddress: k.self.PeerAddress, Capacity: k.self.Capacity, Incarnation: k.self.Incarnation,
 	})
 	if err != nil {
 		k.log.With("error", err).Error("The host's row could not be encoded.")
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"celerypin.example/celerypin/internal/protocol/gossip"
-	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
@@ -19,20 +18,7 @@
 }
 
 func (k *keeper) divideQuotas(state *desired.State, now clock.Instant) {
-	var peers quota.Peers
-	live := map[id.Host]bool{}
-	for _, d := range k.edge.roster.Live(now) {
-		live[d.Host.ID] = true
-	}
-	told := k.edge.roster.Reserved(now)
-	for _, d := range told {
-		if live[d.Host.ID] {
-			peers.Live = append(peers.Live, d.Quota)
-		} else {
-			peers.Silent = append(peers.Silent, d.Quota)
-		}
-	}
-	peers.Unheard = k.edge.roster.Silent(told)
+	peers := k.edge.roster.QuotaPeers(k.told, state.Accounts, now)
 	k.edge.shares.Step(state.Accounts, peers, now)
 }
 
@@ -40,7 +26,7 @@
 func (k *keeper) Received(from id.Host, m gossip.Message) {
 	if m.Digest != nil {
 		k.mu.Lock()
-		k.heard = append(k.heard, m.Digest)
+		k.heard = append(k.heard, heard{m.Digest, m.Bulletin})
 		k.mu.Unlock()
 		k.relay(from, m.Digest)
 		return
@@ -92,40 +78,60 @@
 	return true
 }
 
-func (k *keeper) takeDigests(now clock.Instant) {
+// takeHeard takes what other hosts said.
+func (k *keeper) takeHeard(now clock.Instant) {
 	k.mu.Lock()
-	heard := k.heard
+	all := k.heard
 	k.heard = nil
 	k.mu.Unlock()
-	for _, d := range heard {
-		if !k.edge.roster.Hear(*d, now) {
-			continue
+	for _, h := range all {
+		if k.edge.roster.Hear(*h.digest, now) {
+			if h.digest.Host.ID == k.reader && !h.digest.Failing {
+				k.edge.copies.vouched(h.digest.Versions, h.digest.Ages, now)
+			}
+			k.takeOutcomes(h.digest)
 		}
-		if d.Host.ID == k.reader && !d.Failing {
-			k.edge.copies.vouched(d.Versions, d.Ages, now)
+		if h.bulletin == nil {
+			continue
 		}
-		k.rolls.Hear(d.Host.ID, d.Incarnation, d.Outcomes)
-		for _, b := range d.Bad {
-			k.rolls.HearBad(b)
+		for _, d := range k.edge.roster.HearBulletin(h.digest.Host.ID, h.bulletin, now) {
+			k.takeOutcomes(&d)
 		}
 	}
 }
 
-// sendDigests tells the other hosts about this one.
-func (k *keeper) sendDigests(now clock.Instant) {
+func (k *keeper) takeOutcomes(d *roster.Digest) {
+	k.rolls.Hear(d.Host.ID, d.Incarnation, d.Outcomes)
+	for _, b := range d.Bad {
+		k.rolls.HearBad(b)
+	}
+}
+
+// sendLetters tells the other hosts about this one, and, if it is a hub, about
+// each other.
+func (k *keeper) sendLetters(now clock.Instant) {
 	k.sequence++
-	k.digests++
 	outcomes := k.edge.recorder.Counts()
 	k.rolls.Hear(k.self.ID, k.self.Incarnation, outcomes)
-	d := &roster.Digest{
+	k.told = k.edge.shares.Tell()
+	own := roster.Digest{
 		Incarnation: k.self.Incarnation, Sequence: k.sequence, Host: k.self.Host, Leaving: !k.edge.Ready(),
-		Versions: k.edge.copies.versions(), Ages: k.edge.copies.ages(now), Failing: k.edge.copies.failing(), Quota: k.edge.shares.Tell(), Requests: k.edge.shares.Requests(),
+		Versions: k.edge.copies.versions(), Ages: k.edge.copies.ages(now), Failing: k.edge.copies.failing(), Quota: k.told, Requests: k.edge.shares.Requests(),
 		Outcomes: outcomes, Bad: k.rolls.Bad(),
 	}
-	far := k.digests%farEvery == 0 || k.edge.leaving.Load()
-	for _, m := range k.edge.roster.Listed() {
-		if m.Region == k.self.Region || far {
-			k.edge.mesh.Send(m.ID, gossip.Message{Digest: d})
+	var accounts []*desired.Account
+	if state := *k.edge.state.Load(); state != nil {
+		accounts = state.Accounts
+	}
+	letters, connect := k.edge.roster.Letters(own, accounts, now)
+	if connect != nil {
+		addresses := map[id.Host]string{}
+		for _, m := range connect {
+			addresses[m.ID] = m.PeerAddress
 		}
+		k.edge.mesh.Connect(addresses)
+	}
+	for _, l := range letters {
+		k.edge.mesh.Broadcast(l.To, gossip.Message{Digest: l.Digest, Bulletin: l.Bulletin})
 	}
 }
--- /dev/null
+++ b/internal/protocol/gossip/bulletin.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/quota"
+	"celerypin.example/celerypin/pkg/coordination/roster"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+type bulletin struct {
+	Notices []notice             `cbor:"notices,omitempty"`
+	Totals  map[id.Region]totals `cbor:"totals,omitempty"`
+}
+
+// notice has numbers for names on the wire, because a bulletin carries many.
+type notice struct {
+	Host        id.Host        `cbor:"1,keyasint"`
+	Incarnation id.Incarnation `cbor:"2,keyasint"`
+	Sequence    id.Sequence    `cbor:"3,keyasint"`
+	AgeMs       uint32         `cbor:"4,keyasint,omitempty"`
+	Leaving     bool           `cbor:"5,keyasint,omitempty"`
+	Failing     bool           `cbor:"6,keyasint,omitempty"`
+	Requests    float32        `cbor:"7,keyasint,omitempty"`
+	Outcomes    []outcome      `cbor:"8,keyasint,omitempty"`
+	Bad         []bad          `cbor:"9,keyasint,omitempty"`
+}
+
+type totals struct {
+	Weight   float32        `cbor:"weight"`
+	Unheard  float32        `cbor:"unheard,omitempty"`
+	Accounts []accountTotal `cbor:"accounts"`
+}
+
+type accountTotal struct {
+	_       struct{} `cbor:",toarray"`
+	Account id.Account
+	Demand  float32
+	Part    float32
+	Silent  float32
+}
+
+func bulletinToWire(b *roster.Bulletin) *bulletin {
+	out := &bulletin{Totals: map[id.Region]totals{}}
+	for _, n := range b.Notices {
+		out.Notices = append(out.Notices, notice{
+			Host: n.Host, Incarnation: n.Incarnation, Sequence: n.Sequence, AgeMs: uint32(min(n.Age.Milliseconds(), math.MaxUint32)),
+			Leaving: n.Leaving, Failing: n.Failing, Requests: float32(n.Requests),
+			Outcomes: outcomesToWire(n.Outcomes), Bad: badToWire(n.Bad),
+		})
+	}
+	for region, t := range b.Totals {
+		out.Totals[region] = totalsToWire(t)
+	}
+	return out
+}
+
+func bulletinFromWire(b *bulletin) *roster.Bulletin {
+	out := &roster.Bulletin{Totals: map[id.Region]quota.Totals{}}
+	for _, n := range b.Notices {
+		out.Notices = append(out.Notices, roster.Notice{
+			Host: n.Host, Incarnation: n.Incarnation, Sequence: n.Sequence, Age: time.Duration(n.AgeMs) * time.Millisecond,
+			Leaving: n.Leaving, Failing: n.Failing, Requests: float64(n.Requests),
+			Outcomes: outcomesFromWire(n.Outcomes), Bad: badFromWire(n.Bad),
+		})
+	}
+	for region, t := range b.Totals {
+		out.Totals[region] = totalsFromWire(t)
+	}
+	return out
+}
+
+func totalsToWire(t quota.Totals) totals {
+	out := totals{Weight: float32(t.Weight), Unheard: float32(t.Unheard)}
+	accounts := map[id.Account]bool{}
+	for _, m := range []map[id.Account]float64{t.Demand, t.Part, t.Silent} {
+		for account := range m {
+			accounts[account] = true
+		}
+	}
+	for _, a := range slices.Sorted(maps.Keys(accounts)) {
+		out.Accounts = append(out.Accounts, accountTotal{
+			Account: a, Demand: float32(t.Demand[a]), Part: float32(t.Part[a]), Silent: float32(t.Silent[a]),
+		})
+	}
+	return out
+}
+
+func totalsFromWire(t totals) quota.Totals {
+	out := quota.NewTotals()
+	out.Weight, out.Unheard = float64(t.Weight), float64(t.Unheard)
+	for _, a := range t.Accounts {
+		out.Demand[a.Account], out.Part[a.Account], out.Silent[a.Account] = float64(a.Demand), float64(a.Part), float64(a.Silent)
+	}
+	return out
+}
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/mirror"
+	"celerypin.example/celerypin/pkg/state/unit"
 )
 
 // ErrEmpty is returned for a message without content.
@@ -29,17 +30,21 @@
 	mirror.Changes
 }
 
-// Message is one of its fields.
+// Message is what one host tells others: rows, or a digest with a bulletin if
+// the sender is a hub.
 type Message struct {
-	Digest *roster.Digest
-	Rows   *Rows
+	Digest   *roster.Digest
+	Bulletin *roster.Bulletin
+	Rows     *Rows
 }
 
 type envelope struct {
 	From   id.Host `cbor:"from"`
 	To     id.Host `cbor:"to"`
 	Digest *digest `cbor:"digest,omitempty"`
-	Rows   *rows   `cbor:"rows,omitempty"`
+	// Bulletin is what a hub says of other hosts.
+	Bulletin *bulletin `cbor:"bulletin,omitempty"`
+	Rows     *rows     `cbor:"rows,omitempty"`
 }
 
 type digest struct {
@@ -48,7 +53,9 @@
 	Region        id.Region                 `cbor:"region"`
 	FailureDomain id.FailureDomain          `cbor:"failure_domain"`
 	Address       string                    `cbor:"address"`
+	Capacity      unit.PerSecond            `cbor:"capacity,omitempty"`
 	Leaving       bool                      `cbor:"leaving,omitempty"`
+	Follows       bool                      `cbor:"follows,omitempty"`
 	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
 	Ages          map[string]uint32         `cbor:"ages_ms,omitempty"`
 	Failing       bool                      `cbor:"failing,omitempty"`
@@ -110,6 +117,9 @@
 	if m.Digest != nil {
 		e.Digest = digestToWire(m.Digest)
 	}
+	if m.Bulletin != nil {
+		e.Bulletin = bulletinToWire(m.Bulletin)
+	}
 	if m.Rows != nil {
 		e.Rows = &rows{Table: m.Rows.Table, Base: m.Rows.Base, Version: m.Rows.Version, Full: m.Rows.Full}
 		for _, r := range m.Rows.Rows {
@@ -128,6 +138,9 @@
 	if e.Digest != nil {
 		m.Digest = digestFromWire(e.From, e.Digest)
 	}
+	if e.Bulletin != nil {
+		m.Bulletin = bulletinFromWire(e.Bulletin)
+	}
 	if e.Rows != nil {
 		m.Rows = &Rows{Table: e.Rows.Table, Changes: mirror.Changes{Base: e.Rows.Base, Version: e.Rows.Version, Full: e.Rows.Full}}
 		for _, r := range e.Rows.Rows {
@@ -143,20 +156,48 @@
 func digestToWire(d *roster.Digest) *digest {
 	out := &digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
-		Address: d.Host.Address, Leaving: d.Leaving, Versions: d.Versions, Failing: d.Failing, Requests: float32(d.Requests),
+		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, Failing: d.Failing, Requests: float32(d.Requests),
 		Ages: map[string]uint32{},
 	}
 	for table, age := range d.Ages {
 		out.Ages[table] = uint32(min(age.Milliseconds(), math.MaxUint32))
 	}
 	out.Quotas = quotasToWire(d.Quota)
-	for s, c := range d.Outcomes {
-		out.Outcomes = append(out.Outcomes, outcome{
+	out.Outcomes, out.Bad = outcomesToWire(d.Outcomes), badToWire(d.Bad)
+	return out
+}
+
+func outcomesToWire(outcomes map[release.Subject]release.Counts) []outcome {
+	var out []outcome
+	for s, c := range outcomes {
+		out = append(out, outcome{
 			Service: s.Service, Release: s.Release, Route: s.Route, Requests: c.Requests, Failed: c.Failed, Slow: c.Slow,
 		})
 	}
-	for _, b := range d.Bad {
-		out.Bad = append(out.Bad, bad{Service: b.Service, Release: b.Release})
+	return out
+}
+
+func outcomesFromWire(outcomes []outcome) map[release.Subject]release.Counts {
+	out := map[release.Subject]release.Counts{}
+	for _, o := range outcomes {
+		out[release.Subject{Service: o.Service, Release: o.Release, Route: o.Route}] =
+			release.Counts{Requests: o.Requests, Failed: o.Failed, Slow: o.Slow}
+	}
+	return out
+}
+
+func badToWire(releases []release.ID) []bad {
+	var out []bad
+	for _, b := range releases {
+		out = append(out, bad{Service: b.Service, Release: b.Release})
+	}
+	return out
+}
+
+func badFromWire(releases []bad) []release.ID {
+	var out []release.ID
+	for _, b := range releases {
+		out = append(out, release.ID{Service: b.Service, Release: b.Release})
 	}
 	return out
 }
@@ -183,10 +224,11 @@
 func digestFromWire(from id.Host, d *digest) *roster.Digest {
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
-		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address},
-		Leaving: d.Leaving, Versions: d.Versions, Failing: d.Failing, Requests: float64(d.Requests),
-		Ages:  map[string]time.Duration{},
-		Quota: quota.Told{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}}, Outcomes: map[release.Subject]release.Counts{},
+		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address, Capacity: d.Capacity},
+		Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, Failing: d.Failing, Requests: float64(d.Requests),
+		Ages:     map[string]time.Duration{},
+		Quota:    quota.Told{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
+		Outcomes: outcomesFromWire(d.Outcomes), Bad: badFromWire(d.Bad),
 	}
 	for table, age := range d.Ages {
 		out.Ages[table] = time.Duration(age) * time.Millisecond
@@ -199,12 +241,5 @@
 			out.Quota.Part[q.Account] = float64(q.Part)
 		}
 	}
-	for _, o := range d.Outcomes {
-		out.Outcomes[release.Subject{Service: o.Service, Release: o.Release, Route: o.Route}] =
-			release.Counts{Requests: o.Requests, Failed: o.Failed, Slow: o.Slow}
-	}
-	for _, b := range d.Bad {
-		out.Bad = append(out.Bad, release.ID{Service: b.Service, Release: b.Release})
-	}
 	return out
 }
--- /dev/null
+++ b/internal/protocol/gossip/gossip_test.go
@@ -0,0 +1,112 @@
+package gossip
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"celerypin.example/celerypin/internal/golden"
+	"celerypin.example/celerypin/pkg/coordination/quota"
+	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/coordination/roster"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+)
+
+// examples holds one message of each kind.
+func examples() []struct {
+	name    string
+	message Message
+} {
+	subject := release.Subject{Service: "desk", Release: "v2", Route: "swaps"}
+	outcomes := map[release.Subject]release.Counts{subject: {Requests: 9, Failed: 1, Slow: 2}}
+	digest := &roster.Digest{
+		Incarnation: 7, Sequence: 12, Host: fleet.Host{ID: "host-a", Region: "west", FailureDomain: "west-a", Address: "10.0.0.1:80", Capacity: 500},
+		Follows: true, Versions: map[string]mirror.Version{"op": 4}, Ages: map[string]time.Duration{"op": 40 * time.Millisecond},
+		Quota:    quota.Told{Demand: map[id.Account]float64{"choir": 2.5}, Part: map[id.Account]float64{"choir": 0.25}},
+		Requests: 31, Outcomes: outcomes, Bad: []release.ID{{Service: "desk", Release: "v2"}},
+	}
+	brief := &roster.Digest{
+		Incarnation: 7, Sequence: 13, Host: digest.Host, Leaving: true, Failing: true,
+		Ages: map[string]time.Duration{}, Quota: quota.Told{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
+		Outcomes: map[release.Subject]release.Counts{},
+	}
+	totals := quota.NewTotals()
+	totals.Weight, totals.Unheard = 4, 0.125
+	totals.Demand["choir"], totals.Part["choir"], totals.Silent["choir"] = 20, 0.5, 0.25
+	bulletin := &roster.Bulletin{
+		Notices: []roster.Notice{
+			{Host: "host-b", Incarnation: 3, Sequence: 5, Age: 400 * time.Millisecond, Requests: 12, Outcomes: outcomes, Bad: digest.Bad},
+			{Host: "host-c", Incarnation: 4, Sequence: 6, Leaving: true, Failing: true, Outcomes: map[release.Subject]release.Counts{}},
+		},
+		Totals: map[id.Region]quota.Totals{"west": totals},
+	}
+	rows := &Rows{Table: "op", Changes: mirror.Changes{Base: 3, Version: 5, Full: true, Rows: []mirror.Row{
+		{Key: "config", Value: []byte("{}"), Version: 4}, {Key: "gone", Version: 5, Deleted: true},
+	}}}
+	return []struct {
+		name    string
+		message Message
+	}{
+		{"digest", Message{Digest: digest}},
+		{"bulletin", Message{Digest: brief, Bulletin: bulletin}},
+		{"rows", Message{Rows: rows}},
+	}
+}
+
+func TestMessages(t *testing.T) {
+	var text strings.Builder
+	for _, e := range examples() {
+		data, err := Wire{}.Encode("host-a", "host-b", e.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		diagnosis, err := cbor.Diagnose(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text.WriteString(e.name + ": " + diagnosis + "\n")
+		from, to, got, err := Wire{}.Decode(data)
+		if err != nil || from != "host-a" || to != "host-b" {
+			t.Errorf("%s: got %s, %s, %v, want host-a, host-b and no error", e.name, from, to, err)
+		}
+		if !reflect.DeepEqual(got, e.message) {
+			t.Errorf("%s: got %+v, want %+v", e.name, got, e.message)
+		}
+	}
+	golden.Check(t, "messages.golden", []byte(text.String()))
+}
+
+func TestMessageWithoutContentIsAnError(t *testing.T) {
+	data, err := Wire{}.Encode("host-a", "host-b", Message{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, err := (Wire{}).Decode(data); !errors.Is(err, ErrEmpty) {
+		t.Errorf("got %v, want ErrEmpty", err)
+	}
+}
+
+// TestBulletinOfManyHostsIsSmall holds that what a hub tells each follower stays
+// well below the bound of 25 KB a second for control: two or three bulletins.
+func TestBulletinOfManyHostsIsSmall(t *testing.T) {
+	const most = 8 << 10
+	b := &roster.Bulletin{Totals: map[id.Region]quota.Totals{}}
+	for range 75 {
+		b.Notices = append(b.Notices, roster.Notice{
+			Host: "edge-colombo-12", Incarnation: 1_780_000_000_000, Sequence: 900, Age: 400 * time.Millisecond, Requests: 30,
+		})
+	}
+	data, err := Wire{}.Encode("host-a", "host-b", Message{Digest: examples()[1].message.Digest, Bulletin: b})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(data); got > most {
+		t.Errorf("got %d bytes, want at most %d", got, most)
+	}
+}
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -9,6 +9,8 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"errors"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -119,20 +121,58 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.addresses[h] = address
-	if m.self < h && !m.dialing[h] && !m.closed {
-		m.dialing[h] = true
-		m.work.Add(1)
-		go m.keepDialing(h)
+	if m.self < h {
+		m.startDialing(h)
 	}
 }
 
+// Connect keeps this host connected to others, whoever has the lower name, and
+// lets go of those that an earlier call named. Their connections end when
+// nothing passes over them any more.
+func (m *Mesh[M]) Connect(addresses map[id.Host]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.addresses = maps.Clone(addresses)
+	for h := range addresses {
+		m.startDialing(h)
+	}
+}
+
+// startDialing is called with the lock held.
+func (m *Mesh[M]) startDialing(h id.Host) {
+	if m.dialing[h] || m.closed || h == m.self {
+		return
+	}
+	m.dialing[h] = true
+	m.work.Add(1)
+	go m.keepDialing(h)
+}
+
 // Send queues a message for a host; it is lost if there is no connection or
 // the queue is full.
-func (m *Mesh[M]) Send(to id.Host, message M) {
+func (m *Mesh[M]) Send(to id.Host, message M) { m.send(to, message, m.linksTo([]id.Host{to})) }
+
+// Broadcast does the same for several hosts, and encodes the message once.
+func (m *Mesh[M]) Broadcast(to []id.Host, message M) { m.send(anyone, message, m.linksTo(to)) }
+
+// anyone is the addressee of messages to several hosts. That a connection leads
+// to the right host was found out when it was made.
+const anyone id.Host = ""
+
+func (m *Mesh[M]) linksTo(hosts []id.Host) []*link {
 	m.mu.Lock()
-	l := m.links[to]
-	m.mu.Unlock()
-	if l == nil {
+	defer m.mu.Unlock()
+	var out []*link
+	for _, h := range hosts {
+		if l := m.links[h]; l != nil {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (m *Mesh[M]) send(to id.Host, message M, links []*link) {
+	if len(links) == 0 {
 		return
 	}
 	data, err := m.wire.Encode(m.self, to, message)
@@ -140,9 +180,11 @@
 		m.log.With("error", err).Error("A message could not be encoded.")
 		return
 	}
-	select {
-	case l.queue <- data:
-	default:
+	for _, l := range links {
+		select {
+		case l.queue <- data:
+		default:
+		}
 	}
 }
 
@@ -157,16 +199,32 @@
 
 func (m *Mesh[M]) keepDialing(h id.Host) {
 	defer m.work.Done()
-	for m.ctx.Err() == nil {
+	for m.ctx.Err() == nil && m.wants(h) {
 		m.dialOnce(h)
-		m.clock.Sleep(m.ctx, redialPause)
+		// Two hosts that dial each other must not replace each other's connections
+		// for ever.
+		m.clock.Sleep(m.ctx, redialPause+rand.N(redialPause))
 	}
 }
 
+// wants tells whether a host is to be dialled, and forgets that it was if not.
+func (m *Mesh[M]) wants(h id.Host) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.addresses[h] == "" {
+		delete(m.dialing, h)
+		return false
+	}
+	return true
+}
+
 func (m *Mesh[M]) dialOnce(h id.Host) {
 	m.mu.Lock()
-	address := m.addresses[h]
+	address, connected := m.addresses[h], m.links[h] != nil
 	m.mu.Unlock()
+	if connected {
+		return
+	}
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{tokenHeader: {m.token}, "Celerypin-From": {string(m.self)}, "Celerypin-To": {string(h)}}
@@ -279,7 +337,7 @@
 		}
 		m.read.Inc(int64(len(data)))
 		from, to, message, err := m.wire.Decode(data)
-		if err != nil || from != h || to != m.self {
+		if err != nil || from != h || (to != m.self && to != anyone) {
 			m.log.With("host", h).Warn("A malformed message ended the connection.")
 			return
 		}
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -115,16 +115,6 @@
 	Part   map[id.Account]float64
 }
 
-// Peers is what is known of the other hosts that may serve.
-type Peers struct {
-	// Live were heard lately, Silent were not, but may serve on.
-	Live, Silent []Told
-	// Unheard counts those that have told nothing yet.
-	Unheard int
-}
-
-func (p *Peers) count() int { return len(p.Live) + len(p.Silent) + p.Unheard }
-
 // Tell returns what to tell the other hosts.
 func (s *Shares) Tell() Told {
 	out := Told{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}}
@@ -155,7 +145,7 @@
 // Step measures demand and sets the shares anew, given the accounts and what is
 // known of the other hosts. Step and Tell may be called by one goroutine only.
 func (s *Shares) Step(accounts []*desired.Account, peers Peers, now clock.Instant) {
-	s.add(accounts, peers.count(), now)
+	s.add(accounts, peers.Even, now)
 	elapsed := now.Sub(s.steppedAt)
 	if elapsed <= 0 {
 		return
@@ -173,7 +163,7 @@
 }
 
 // add makes buckets for new accounts and drops those of accounts that are gone.
-func (s *Shares) add(accounts []*desired.Account, others int, now clock.Instant) {
+func (s *Shares) add(accounts []*desired.Account, even float64, now clock.Instant) {
 	old := *s.accounts.Load()
 	next := make(map[id.Account]*share, len(accounts))
 	changed := len(accounts) != len(old)
@@ -183,7 +173,7 @@
 		}
 		changed = true
 		first := budget.Share[unit.Tokens]{
-			Rate: tokens(a.Rate / float64(others+1)), Burst: tokens(max(a.Burst*firstPart/float64(others+1), 1)),
+			Rate: tokens(a.Rate * even), Burst: tokens(max(a.Burst*firstPart*even, 1)),
 		}
 		sh := &share{bucket: budget.NewBucket(first, now.Add(-fillTime(first)))}
 		sh.bound.Store(a.Rate > 0)
@@ -216,34 +206,21 @@
 // silent host used is left to it, because it may serve on behind a partition; a
 // host that has told nothing is left an even part.
 func (s *Shares) divide(a *desired.Account, sh *share, peers *Peers) budget.Share[unit.Tokens] {
-	even := 1 / float64(peers.count()+1)
-	free := 1 - even*float64(peers.Unheard)
-	for _, t := range peers.Silent {
-		if part, known := t.Part[a.ID]; known {
-			free -= part
-		} else {
-			free -= even
-		}
-	}
-	free = max(free, 0)
+	free := max(1-peers.Unheard-peers.Silent[a.ID], 0)
 	own := math.Float64frombits(sh.told.Load())
-	all := own
-	for _, t := range peers.Live {
-		all += t.Demand[a.ID]
-	}
-	evenLive := 1 / float64(len(peers.Live)+1)
-	goal := free * evenLive
+	all := own + peers.Demand[a.ID]
+	goal := free * peers.EvenLive
 	if all > 0 {
-		goal = free * (evenPart*evenLive + (1-evenPart)*own/all)
+		goal = free * (evenPart*peers.EvenLive + (1-evenPart)*own/all)
 	}
 	if sh.part == 0 {
-		sh.part = even
+		sh.part = peers.Even
 	}
 	if goal > sh.part {
 		goal = sh.part + (goal-sh.part)*growth
 	}
 	sh.part = goal
-	burst := a.Burst*goal + s.bound.extra(a)*even
+	burst := a.Burst*goal + s.bound.extra(a)*peers.Even
 	return budget.Share[unit.Tokens]{Rate: tokens(a.Rate * goal), Burst: tokens(max(burst, 1))}
 }
 
--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -67,7 +67,7 @@
 
 func (f *fleet) share() {
 	for i, h := range f.hosts {
-		var p Peers
+		others, even := NewTotals(), 1/float64(len(f.hosts))
 		for j := range f.hosts {
 			if j == i {
 				continue
@@ -78,14 +78,14 @@
 			}
 			switch kept := f.kept[i][j]; {
 			case kept == nil:
-				p.Unheard++
+				others.Unheard += even
 			case live:
-				p.Live = append(p.Live, *kept)
+				others.AddLive(*kept, 1)
 			default:
-				p.Silent = append(p.Silent, *kept)
+				others.AddSilent(f.quota, *kept, even)
 			}
 		}
-		h.Step(f.quota, p, f.clock.Now())
+		h.Step(f.quota, NewPeers(others, 1, even), f.clock.Now())
 	}
 	for i, h := range f.hosts {
 		told := h.Tell()
--- /dev/null
+++ b/pkg/coordination/roster/duties.go
@@ -0,0 +1,104 @@
+package roster
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+// ColdShare returns this host's part of what a cold upstream of its region may
+// get, as one over a number of hosts, or 0 if others send. Each sender may send
+// one request at once beside its rate, so only as many hosts send as the bound
+// has room for, of those that clients use; all hosts name the same ones.
+func (r *Roster) ColdShare(upstream id.Upstream, most int, now clock.Instant) float64 {
+	r.mu.Lock()
+	known := r.known(now)
+	r.mu.Unlock()
+	strong := strongest(known)
+	if !strong[r.self.ID] {
+		return 0
+	}
+	hosts, before := 0, 0
+	own := coldRank(r.self.ID, upstream)
+	for _, h := range known {
+		if h.Region != r.self.Region || !strong[h.ID] {
+			continue
+		}
+		hosts++
+		if coldRank(h.ID, upstream) > own {
+			before++
+		}
+	}
+	senders := min(hosts, max(most, 1))
+	if before >= senders {
+		return 0
+	}
+	return 1 / float64(senders)
+}
+
+func coldRank(host id.Host, upstream id.Upstream) uint64 {
+	return xxhash.Sum64String(string(host) + "\x00" + string(upstream))
+}
+
+// Demand returns the part of all requests that each region has. Regions of
+// which nothing is known count like the others.
+func (r *Roster) Demand(own float64, regions []id.Region, now clock.Instant) map[id.Region]float64 {
+	// Each region gets a floor, so that one without requests keeps some room.
+	const floor = 5.0
+	out := map[id.Region]float64{}
+	sum := 0.0
+	for _, region := range regions {
+		out[region] = floor
+		sum += floor
+	}
+	add := func(region id.Region, rate float64) {
+		if _, known := out[region]; known {
+			out[region] += rate
+			sum += rate
+		}
+	}
+	add(r.self.Region, own)
+	for _, d := range r.Live(now) {
+		add(d.Host.Region, d.Requests)
+	}
+	for region := range out {
+		out[region] /= max(sum, 1)
+	}
+	return out
+}
+
+// Leads tells whether this host is the first by name of those that live, which
+// takes the steps that one host should take. Several hosts may think so; what
+// they write is conditional.
+func (r *Roster) Leads(leaving bool, now clock.Instant) bool {
+	if leaving {
+		return false
+	}
+	for _, d := range r.Live(now) {
+		if !d.Leaving && d.Host.ID < r.self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// Reader returns the host of this region that reads the store for the others:
+// its hub, or, while there are none, the first by name that lives and can.
+func (r *Roster) Reader(failing, leaving bool, now clock.Instant) id.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.meshed() && r.hubs.current != "" {
+		return r.hubs.current
+	}
+	for _, d := range r.live(now) {
+		if d.Host.Region != r.self.Region || d.Leaving || d.Failing {
+			continue
+		}
+		if failing || leaving || d.Host.ID < r.self.ID {
+			return d.Host.ID
+		}
+		break
+	}
+	return r.self.ID
+}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -31,6 +29,8 @@
 	Sequence    id.Sequence
 	Host        fleet.Host
 	Leaving     bool
+	// Follows asks the receiver to tell the sender about all other hosts.
+	Follows bool
 	// Versions are those as of which the host's copies of the tables are complete.
 	Versions map[string]mirror.Version
 	// Ages are how long ago the copies were known to be complete.
@@ -54,6 +54,9 @@
 	restartTime = 700 * time.Millisecond
 	// liveFor is a few intervals between digests; a lossy link may lose one.
 	liveFor = 2 * time.Second
+	// relayedFor is how long what a hub said of another host holds. It covers the
+	// change to another hub.
+	relayedFor = 3500 * time.Millisecond
 	// forgetAfter is how long a listed host may be silent before its row is removed;
 	// it announces itself again if it returns.
 	forgetAfter = 3 * time.Minute
@@ -63,26 +66,43 @@
 )
 
 // Roster is safe for concurrent use.
+//
+// Few hosts tell each other all directly. Of many, each follows one host of its
+// region, the hub, and hears of the others from it; hubs tell each other about
+// their regions. Nobody appoints a hub: a host is one while others follow it.
 type Roster struct {
 	self    Member
 	started clock.Instant
 	mu      sync.Mutex
 	listed  map[id.Host]Member
 	digests map[id.Host]heard
+	hubs    hubs
 }
 
+// heard is the last that is known of a host.
 type heard struct {
 	digest Digest
-	at     clock.Instant
+	// at is when the host said it, asOf when the one from whom it was heard had
+	// heard nothing later; the two differ if it was not heard directly.
+	at, asOf clock.Instant
+	direct   bool
+}
+
+func (h *heard) lives(now clock.Instant) bool {
+	if h.direct {
+		return now.Sub(h.at) < liveFor
+	}
+	return h.asOf.Sub(h.at) < liveFor && now.Sub(h.asOf) < relayedFor
 }
 
 // New returns the roster of a host that knows only itself.
 func New(self Member, now clock.Instant) *Roster {
-	return &Roster{self: self, started: now, listed: map[id.Host]Member{}, digests: map[id.Host]heard{}}
+	return &Roster{self: self, started: now, listed: map[id.Host]Member{}, digests: map[id.Host]heard{}, hubs: newHubs(now)}
 }
 
-// SetListed replaces the hosts that the store lists.
-func (r *Roster) SetListed(members []Member) {
+// SetListed replaces the hosts that the store lists, and tells whether they are
+// few enough to be connected to all.
+func (r *Roster) SetListed(members []Member) (meshed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed = map[id.Host]Member{}
@@ -91,22 +111,21 @@
 			r.listed[m.ID] = m
 		}
 	}
+	return r.meshed()
 }
 
 // Forgotten returns the listed hosts that were silent for so long that they are
 // taken to be removed for good. While no other host is heard, this one may be
 // the one that is cut off.
 func (r *Roster) Forgotten(now clock.Instant) []id.Host {
-	if now.Sub(r.started) < forgetAfter || len(r.Live(now)) == 0 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.started) < forgetAfter || len(r.live(now)) == 0 {
 		return nil
 	}
-	heard := map[id.Host]bool{}
-	for _, d := range r.within(forgetAfter, now) {
-		heard[d.Host.ID] = true
-	}
 	var out []id.Host
-	for _, m := range r.Listed() {
-		if !heard[m.ID] {
+	for _, m := range r.members() {
+		if h, known := r.digests[m.ID]; !known || now.Sub(h.at) >= forgetAfter {
 			out = append(out, m.ID)
 		}
 	}
@@ -117,6 +136,11 @@
 func (r *Roster) Listed() []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.members()
+}
+
+// members returns the other hosts that the store lists, by name.
+func (r *Roster) members() []Member {
 	out := make([]Member, 0, len(r.listed))
 	for _, m := range r.listed {
 		out = append(out, m)
@@ -137,177 +161,25 @@
 		(d.Incarnation == old.digest.Incarnation && d.Sequence <= old.digest.Sequence)) {
 		return false
 	}
-	r.digests[d.Host.ID] = heard{d, now}
+	r.hubs.heardDirectly(&d, now)
+	r.digests[d.Host.ID] = heard{digest: d, at: now, asOf: now, direct: true}
 	return true
 }
 
 // Live returns the digests of the other hosts that live, by name.
-func (r *Roster) Live(now clock.Instant) []Digest { return r.within(liveFor, now) }
-
-// Reserved returns the digests of the other hosts that live, or may serve on
-// unheard.
-func (r *Roster) Reserved(now clock.Instant) []Digest { return r.within(reservedFor, now) }
-
-func (r *Roster) within(limit time.Duration, now clock.Instant) []Digest {
+func (r *Roster) Live(now clock.Instant) []Digest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.live(now)
+}
+
+func (r *Roster) live(now clock.Instant) []Digest {
 	var out []Digest
 	for _, h := range r.digests {
-		if now.Sub(h.at) < limit {
+		if h.lives(now) {
 			out = append(out, h.digest)
 		}
 	}
 	slices.SortFunc(out, func(a, b Digest) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
 	return out
 }
-
-// Silent returns how many hosts may serve that are not among those that told
-// something. While none are known there may be several.
-func (r *Roster) Silent(told []Digest) int {
-	heard := map[id.Host]bool{}
-	for _, d := range told {
-		heard[d.Host.ID] = true
-	}
-	listed := r.Listed()
-	if len(listed)+len(told) == 0 {
-		return unknownHosts
-	}
-	silent := 0
-	for _, m := range listed {
-		if !heard[m.ID] {
-			silent++
-		}
-	}
-	return silent
-}
-
-// unknownHosts is how many other hosts there are taken to be before any is known.
-const unknownHosts = 8
-
-// ColdShare returns this host's part of what a cold upstream of its region may
-// get, as one over a number of hosts, or 0 if others send. Each sender may send
-// one request at once beside its rate, so only as many hosts send as the bound
-// has room for; all hosts name the same ones.
-func (r *Roster) ColdShare(upstream id.Upstream, most int, now clock.Instant) float64 {
-	names := map[id.Host]bool{r.self.ID: true}
-	for _, m := range r.Listed() {
-		if m.Region == r.self.Region {
-			names[m.ID] = true
-		}
-	}
-	for _, d := range r.Live(now) {
-		if d.Host.Region == r.self.Region {
-			names[d.Host.ID] = true
-		}
-	}
-	senders := min(len(names), max(most, 1))
-	before := 0
-	own := coldRank(r.self.ID, upstream)
-	for name := range names {
-		if coldRank(name, upstream) > own {
-			before++
-		}
-	}
-	if before >= senders {
-		return 0
-	}
-	return 1 / float64(senders)
-}
-
-func coldRank(host id.Host, upstream id.Upstream) uint64 {
-	return xxhash.Sum64String(string(host) + "\x00" + string(upstream))
-}
-
-// Demand returns the part of all requests that each region has. Regions of
-// which nothing is known count like the others.
-func (r *Roster) Demand(own float64, regions []id.Region, now clock.Instant) map[id.Region]float64 {
-	// Each region gets a floor, so that one without requests keeps some room.
-	const floor = 5.0
-	out := map[id.Region]float64{}
-	sum := 0.0
-	for _, region := range regions {
-		out[region] = floor
-		sum += floor
-	}
-	add := func(region id.Region, rate float64) {
-		if _, known := out[region]; known {
-			out[region] += rate
-			sum += rate
-		}
-	}
-	add(r.self.Region, own)
-	for _, d := range r.Live(now) {
-		add(d.Host.Region, d.Requests)
-	}
-	for region := range out {
-		out[region] /= max(sum, 1)
-	}
-	return out
-}
-
-// Leads tells whether this host is the first by name of those that live, which
-// takes the steps that one host should take. Several hosts may think so; what
-// they write is conditional.
-func (r *Roster) Leads(leaving bool, now clock.Instant) bool {
-	if leaving {
-		return false
-	}
-	for _, d := range r.Live(now) {
-		if !d.Leaving && d.Host.ID < r.self.ID {
-			return false
-		}
-	}
-	return true
-}
-
-// Reader returns the host of this region that reads the store for the others:
-// the first by name that lives and can.
-func (r *Roster) Reader(failing, leaving bool, now clock.Instant) id.Host {
-	for _, d := range r.Live(now) {
-		if d.Host.Region != r.self.Region || d.Leaving || d.Failing {
-			continue
-		}
-		if failing || leaving || d.Host.ID < r.self.ID {
-			return d.Host.ID
-		}
-		break
-	}
-	return r.self.ID
-}
-
-// Nearby returns the addresses of the live hosts that a client should use: those
-// of its failure domain if there are a few, those of its region otherwise, and
-// only if there are none those of other regions.
-func (r *Roster) Nearby(region id.Region, domain id.FailureDomain, leaving bool, now clock.Instant) []string {
-	var hosts []fleet.Host
-	if !leaving {
-		hosts = append(hosts, r.self.Host)
-	}
-	for _, d := range r.Live(now) {
-		if !d.Leaving {
-			hosts = append(hosts, d.Host)
-		}
-	}
-	if len(hosts) == 0 {
-		return []string{r.self.Address}
-	}
-	in := func(wanted func(fleet.Host) bool) []string {
-		var out []string
-		for _, h := range hosts {
-			if wanted(h) {
-				out = append(out, h.Address)
-			}
-		}
-		return out
-	}
-	if near := in(func(h fleet.Host) bool { return h.FailureDomain == domain }); len(near) >= nearEnough {
-		return near
-	}
-	if near := in(func(h fleet.Host) bool { return h.Region == region }); len(near) > 0 {
-		return near
-	}
-	return in(func(fleet.Host) bool { return true })
-}
-
-// nearEnough is the number of hosts of a failure domain that bear the loss of one.
-const nearEnough = 2
--- a/pkg/coordination/roster/roster_test.go
+++ b/pkg/coordination/roster/roster_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 )
@@ -167,16 +170,18 @@
 	r := New(member("h0", "a", "a1"), c.Now())
 	m := member("h1", "b", "b1")
 	r.SetListed([]Member{m, member("h2", "b", "b1")})
-	r.Hear(digest(m, 1), c.Now())
+	d := digest(m, 1)
+	d.Quota = quota.Told{Part: map[id.Account]float64{"choir": 0.4}}
+	r.Hear(d, c.Now())
 	c.Advance(15 * time.Second)
 	if got, want := len(r.Live(c.Now())), 0; got != want {
 		t.Errorf("got %d live, want %d", got, want)
 	}
-	told := r.Reserved(c.Now())
-	if got, want := len(told), 1; got != want {
-		t.Errorf("got %d with shares, want %d", got, want)
+	peers := r.QuotaPeers(quota.Told{}, []*desired.Account{{ID: "choir"}}, c.Now())
+	if got, want := peers.Silent["choir"], 0.4; got != want {
+		t.Errorf("got %v left to the silent host, want %v", got, want)
 	}
-	if got, want := r.Silent(told), 1; got != want {
-		t.Errorf("got %d silent, want %d", got, want)
+	if got, want := peers.Unheard, 1.0/3; math.Abs(got-want) > 1e-9 {
+		t.Errorf("got %v left to the host that was never heard, want %v", got, want)
 	}
 }
--- a/pkg/state/fleet/fleet.go
+++ b/pkg/state/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/unit"
 )
 
 // Host is one entry host as callers may use it.
@@ -12,6 +13,8 @@
 	Region        id.Region
 	FailureDomain id.FailureDomain
 	Address       string
+	// Capacity is the requests that the host can carry, 0 if it is not known.
+	Capacity unit.PerSecond
 }
 
 // UpstreamState tells whether an upstream accepts new work.
--- a/pkg/state/unit/unit.go
+++ b/pkg/state/unit/unit.go
@@ -44,3 +44,6 @@
 	}
 	return U(quotient)
 }
+
+// PerSecond is a rate in whole requests a second.
+type PerSecond int64
