--- a/cmd/celerypin/cmds/serve.go
+++ b/cmd/celerypin/cmds/serve.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -28,6 +30,8 @@
 	return &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "read the settings from `FILE`", Required: true}
 }
 
+const metricsPortFlag = "metrics-port"
+
 func serveCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
@@ -37,7 +41,10 @@
 			"the variable " + platform.SettingsVariable + " names; SIGHUP reads that file again.\n" +
 			"On SIGINT or SIGTERM it stops gracefully; a second signal ends it at once.\n\n" +
 			"Example: celerypin serve --config examples/local/western-1.json",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "read the project's own settings from `FILE`"}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "read the project's own settings from `FILE`"},
+			&cli.IntFlag{Name: metricsPortFlag, Usage: "serve metrics at `PORT` of the host's address; without it at the second of the ports between hosts"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if !c.IsSet("config") {
 				return serveOnPlatform(ctx, c)
@@ -105,6 +112,9 @@
 	if err != nil {
 		return exitWith(ExitUsage, err)
 	}
+	if port := c.Int(metricsPortFlag); port != 0 {
+		s.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(port))
+	}
 	limitRuntime(s)
 	ring := logging.NewRing(c.Root().Writer)
 	defer func() { ring.Close(time.After(logPatience)) }()
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -18,14 +18,22 @@
 
 // Times of reading the store. One host of each region reads for the others and
 // tells how fresh its copies are; a host reads for itself when that is too old,
-// so that a change is known everywhere within two seconds whoever is cut off.
+// so that a change is known everywhere in time whoever is cut off.
 const (
 	// feedWait is how long a read waits for a change. It bounds how long a silent
 	// connection stays unnoticed.
 	feedWait = 900 * time.Millisecond
-	// staleAfter is the age from which a host reads for itself: a reader's wait, the
-	// interval between digests, and the way.
-	staleAfter = 1500 * time.Millisecond
+	// ownWait is the same for the table of this system's own rows, which say nothing
+	// that is due within seconds, and ownPause the pause after a read that found
+	// some: when all hosts start, each writes one.
+	ownWait, ownPause = 2500 * time.Millisecond, 600 * time.Millisecond
+	// firstStale and lastStale bound the age from which a host reads for itself. The
+	// first is a reader's wait, the interval between digests, and the way.
+	firstStale, lastStale = 1500 * time.Millisecond, 2500 * time.Millisecond
+	// ownStale is the same for the system's own rows.
+	ownStale = 5 * time.Second
+	// actTime is what a host needs to act on a change that it has read.
+	actTime = 500 * time.Millisecond
 	// staleCheck is the interval at which the age is looked at.
 	staleCheck = 100 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed read.
@@ -53,6 +61,9 @@
 // copied is the copy of one table.
 type copied struct {
 	*mirror.Table
+	// wait is how long a read waits for a change, pause the time after one that found
+	// some, stale the age from which a host reads for itself.
+	wait, pause, stale time.Duration
 	// failing is set while reads fail; troubleAt is when one last failed.
 	failing   atomic.Bool
 	troubleAt atomic.Int64
@@ -62,13 +73,16 @@
 	freshAt atomic.Int64
 }
 
-func newCopies(store *platform.Store, c clock.Clock, log *logging.Log) *copies {
+// newCopies returns copies that know nothing yet. Changes are to be in force
+// everywhere within due.
+func newCopies(store *platform.Store, c clock.Clock, log *logging.Log, due time.Duration) *copies {
+	stale := min(max(due-actTime, firstStale), lastStale)
 	return &copies{
 		store: store, clock: c, log: log, pending: map[platform.Table][]mirror.Row{},
 		tables: map[platform.Table]*copied{
-			platform.Operator:  {Table: mirror.New()},
-			platform.Upstreams: {Table: mirror.New()},
-			platform.Own:       {Table: mirror.New()},
+			platform.Operator:  {Table: mirror.New(), wait: feedWait, stale: stale},
+			platform.Upstreams: {Table: mirror.New(), wait: feedWait, stale: stale},
+			platform.Own:       {Table: mirror.New(), wait: ownWait, pause: ownPause, stale: ownStale},
 		},
 	}
 }
@@ -96,6 +110,7 @@
 		case len(rows) > 0:
 			c.add(name, rows)
 			changed()
+			c.clock.Sleep(ctx, table.pause)
 		}
 		pause = firstPause
 		c.awaitTurn(ctx, table)
@@ -106,7 +121,7 @@
 // awaitTurn waits until the copy that another host keeps fresh has become
 // stale, unless this host reads for its region.
 func (c *copies) awaitTurn(ctx context.Context, table *copied) {
-	for !c.reading.Load() && c.clock.Now().Sub(clock.Instant(table.freshAt.Load())) < staleAfter {
+	for !c.reading.Load() && c.clock.Now().Sub(clock.Instant(table.freshAt.Load())) < table.stale {
 		if !c.clock.Sleep(ctx, staleCheck) {
 			return
 		}
@@ -124,7 +139,7 @@
 		after := table.Version()
 		wait := time.Duration(0)
 		if c.reading.Load() {
-			wait = feedWait
+			wait = table.wait
 		}
 		rows, version, err := c.store.Changes(ctx, name, after, wait)
 		if err == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,7 +112,7 @@
 	e.store = platform.NewStore(s.Store, &http.Transport{
 		DialContext: http1.NewDialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true,
 	})
-	e.copies = newCopies(e.store, c, log.Part("store"))
+	e.copies = newCopies(e.store, c, log.Part("store"), min(s.Bounds.ConfigApply, s.Bounds.Drain))
 	e.keeper = newKeeper(e, self, log.Part("control"))
 	e.copies.brought = e.keeper.bring
 	e.mesh = host.New[gossip.Message](s.Host, nil, gossip.Wire{}, e.keeper, log.Part("mesh"), c, e.metrics)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -60,12 +60,13 @@
 
 // bring sends rows that were read to the other hosts of the region.
 func (k *keeper) bring(name platform.Table, changes mirror.Changes) {
-	now := k.edge.clock.Now()
-	for _, d := range k.edge.roster.Live(now) {
+	var near []id.Host
+	for _, d := range k.edge.roster.Live(k.edge.clock.Now()) {
 		if d.Host.Region == k.self.Region {
-			k.edge.mesh.Send(d.Host.ID, gossip.Message{Rows: &gossip.Rows{Table: string(name), Changes: changes}})
+			near = append(near, d.Host.ID)
 		}
 	}
+	k.edge.mesh.Broadcast(near, gossip.Message{Rows: &gossip.Rows{Table: string(name), Changes: changes}})
 }
 
 func (k *keeper) mayRelay(key relayKey, now clock.Instant) bool {
--- a/pkg/coordination/roster/hub_test.go
+++ b/pkg/coordination/roster/hub_test.go
@@ -20,7 +20,6 @@
 	hosts   []*crowdHost
 	byName  map[id.Host]*crowdHost
 	cut     func(a, b *crowdHost) bool
-	started time.Duration
 	letters int
 }
 
