--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,7 +105,7 @@
 	e.approved = rcu.New(map[id.Service]id.Release{})
 	e.splits = release.NewSplits()
 	e.recorder = release.NewRecorder(e.splits)
-	e.placer = place.New(s.Region, s.FailureDomain, s.Bounds.MaxShift)
+	e.placer = place.New(s.Region, s.FailureDomain, s.Bounds.MaxShift, place.DefaultPolicy())
 	e.shares = quota.New(quota.Bound{Window: s.Bounds.QuotaWindow, Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack}, now)
 	e.roster = roster.New(self, now)
 	e.pool = http1.NewPool(http1.NewDialer(dialTimeout), c)
@@ -118,7 +118,7 @@
 	e.mesh = host.New[gossip.Message](s.Host, nil, gossip.Wire{}, e.keeper, log.Part("mesh"), c, e.metrics)
 	e.steerer = steer.New(steer.Parts[*http1.Answer]{
 		State: e.state, Shares: e.shares, Placer: e.placer, Splits: e.splits, Recorder: e.recorder, Approved: e.approvedOf,
-		Sender: &sender{pool: e.pool}, Clock: c,
+		Sender: &sender{pool: e.pool}, Clock: c, Random: steer.SystemRandom{},
 		RepeatRatio:   s.Bounds.RetryRatio * repeatRatioPart,
 		RepeatReserve: s.Bounds.RetryExtra * repeatReservePart / fewestHosts,
 	})
--- a/internal/layers/layers.go
+++ b/internal/layers/layers.go
@@ -31,6 +31,7 @@
 	{"internal/transport/", Transport},
 	{"internal/edge/", Assembly},
 	{"internal/explain/", Assembly},
+	{"internal/loadmodel/", Assembly},
 	{"internal/daemon/", Assembly},
 	{"internal/standin/", Assembly},
 	{"internal/demo/", Assembly},
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -20,6 +20,7 @@
 	region        id.Region
 	failureDomain id.FailureDomain
 	maxShift      float64
+	policy        Policy
 	services      *rcu.Cell[map[id.Service]*pool]
 	timings       *timings
 	mu            sync.Mutex
@@ -38,9 +39,9 @@
 // New returns a placer without upstreams for a host at the given place. MaxShift
 // bounds the part of a region's requests that change the region in which they
 // run within two seconds.
-func New(region id.Region, domain id.FailureDomain, maxShift float64) *Placer {
+func New(region id.Region, domain id.FailureDomain, maxShift float64, policy Policy) *Placer {
 	return &Placer{
-		region: region, failureDomain: domain, maxShift: maxShift, services: rcu.New(map[id.Service]*pool{}), timings: newTimings(),
+		region: region, failureDomain: domain, maxShift: maxShift, policy: policy, services: rcu.New(map[id.Service]*pool{}), timings: newTimings(),
 		spreads: map[id.Service]*spread{},
 	}
 }
@@ -125,14 +126,6 @@
 }
 
 const (
-	// candidates is how many upstreams in the order of ownership are compared.
-	candidates = 2
-	// queueDepth bounds the load of an upstream, in multiples of its slots: what
-	// runs and what waits. Upstreams queue a few requests for each slot.
-	queueDepth = 3.0
-	// unknownDepth is the same for objects that the upstream does not know. Each of
-	// them takes the time of several known ones, so they are turned away first.
-	unknownDepth = 1.5
 	// sameDomainTrip, crossDomainTrip and crossRegionTrip are the round trips
 	// assumed for the network.
 	sameDomainTrip  = time.Millisecond
@@ -143,9 +136,6 @@
 	// the factor heavyStays.
 	heavyBody  = 16 << 10
 	heavyStays = 3
-	// coldPenalty weighs the work of a cold start beyond the request's own wait:
-	// it takes a place in the upstream's memory and time of its slots.
-	coldPenalty = 1.0
 	// coldAhead is the part of the requests ahead in a queue that are taken to be
 	// about cold objects.
 	coldAhead = 0.2
@@ -194,13 +184,13 @@
 	bestCost, idleCost := math.Inf(1), math.Inf(1)
 	penalty := 0.0
 	for i, u := range rank(list, a, object, now) {
-		if i >= candidates && best != nil {
+		if i >= p.policy.Candidates && best != nil {
 			break
 		}
 		c, cost := p.weigh(u, a, object, t, penalty, now)
 		if i == 0 {
 			// A slow owner is no reason to keep others from learning the object.
-			penalty = coldPenalty / max(u.slow(now), 1)
+			penalty = p.policy.ColdPenalty / max(u.slow(now), 1)
 		}
 		if c != nil {
 			c.rank = i
@@ -232,9 +222,9 @@
 	slots := float64(u.Info.Slots)
 	load := u.Load(now)
 	known := u.Knows(object)
-	depth := queueDepth
+	depth := p.policy.QueueDepth
 	if !known {
-		depth = unknownDepth
+		depth = p.policy.UnknownDepth
 	}
 	if load >= slots*depth {
 		return nil, 0
--- a/pkg/coordination/place/placer_test.go
+++ b/pkg/coordination/place/placer_test.go
@@ -35,7 +35,7 @@
 }
 
 func newPlacer(now clock.Instant, list []Listing) *Placer {
-	p := New("a", "a1", 0.15)
+	p := New("a", "a1", 0.15, DefaultPolicy())
 	p.Update(list, map[id.Region]float64{"a": 0.5, "b": 0.5}, now)
 	return p
 }
--- a/pkg/coordination/place/spread_test.go
+++ b/pkg/coordination/place/spread_test.go
@@ -16,7 +16,7 @@
 func TestFewRequestsChangeTheirRegionAtOnce(t *testing.T) {
 	const bound = 0.15
 	c := clock.NewFake()
-	p := New("a", "a1", bound)
+	p := New("a", "a1", bound, DefaultPolicy())
 	p.Update(upstreams(3, "a1", "b1"), map[id.Region]float64{"a": 0.5, "b": 0.5}, c.Now())
 	var away []float64
 	for span := range 12 {
@@ -54,7 +54,7 @@
 
 func TestRegionWithoutUpstreamsIsLeftAtOnce(t *testing.T) {
 	c := clock.NewFake()
-	p := New("a", "a1", 0.15)
+	p := New("a", "a1", 0.15, DefaultPolicy())
 	list := upstreams(2, "a1", "b1")
 	p.Update(list, map[id.Region]float64{"a": 0.5, "b": 0.5}, c.Now())
 	for i := range list {
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -172,10 +172,26 @@
 	Approved func(id.Service) id.Release
 	Sender   Sender[A]
 	Clock    clock.Clock
+	Random   Random
 	// RepeatRatio and RepeatReserve bound repeats of this host for each service.
 	RepeatRatio, RepeatReserve float64
 }
 
+// Random is the source of chance. It is safe for concurrent use.
+type Random interface {
+	Float64() float64
+	IntN(n int) int
+}
+
+// SystemRandom is the source that programs use.
+type SystemRandom struct{}
+
+// Float64 returns a number in the half-open interval from 0 to 1.
+func (SystemRandom) Float64() float64 { return rand.Float64() }
+
+// IntN returns a number from 0 to n-1.
+func (SystemRandom) IntN(n int) int { return rand.IntN(n) }
+
 // Steerer decides on requests. It is safe for concurrent use.
 type Steerer[A any] struct {
 	Parts[A]
@@ -197,7 +213,7 @@
 func (s *Steerer[A]) Serve(ctx context.Context, r *Request) Decision[A] {
 	state := *s.State.Load()
 	if state == nil {
-		return Decision[A]{Fate: Refused, Reason: ReasonNoState, RetryAfter: spread(notReadyPause)}
+		return Decision[A]{Fate: Refused, Reason: ReasonNoState, RetryAfter: s.spread(notReadyPause)}
 	}
 	d := Decision[A]{Version: state.Version}
 	route, ok := state.Match(r.VirtualHost, r.Path)
@@ -214,7 +230,7 @@
 	if account != nil {
 		d.Account = account.ID
 		if ok, wait := s.Shares.Take(account.ID, s.Clock.Now()); !ok {
-			d.Fate, d.Reason, d.RetryAfter = OverQuota, ReasonQuota, spread(wait)
+			d.Fate, d.Reason, d.RetryAfter = OverQuota, ReasonQuota, s.spread(wait)
 			d.ShareRate, d.ShareBurst = s.Shares.Share(account.ID)
 			return d
 		}
@@ -247,8 +263,8 @@
 }
 
 // spread varies a time, so that those who are told to come back do not come together.
-func spread(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.7 + 0.6*rand.Float64()))
+func (s *Steerer[A]) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.7 + 0.6*s.Random.Float64()))
 }
 
 // repeatsOf returns the bound on repeats for a service.
--- a/pkg/coordination/steer/steer_test.go
+++ b/pkg/coordination/steer/steer_test.go
@@ -78,7 +78,7 @@
 			}})
 		}
 	}
-	placer := place.New("a", "a", 0.15)
+	placer := place.New("a", "a", 0.15, place.DefaultPolicy())
 	placer.Update(list, map[id.Region]float64{"a": 0.5, "b": 0.5}, c.Now())
 	shares := quota.New(quota.Bound{Window: 5 * time.Second}, c.Now())
 	shares.Step(s.Accounts, quota.Alone(), c.Now())
@@ -86,7 +86,7 @@
 	sender := &scripted{clock: c, script: script, takes: 20 * time.Millisecond}
 	return &fixture{sender: sender, clock: c, Steerer: New(Parts[string]{
 		State: rcu.New(s), Shares: shares, Placer: placer, Splits: splits, Recorder: release.NewRecorder(splits),
-		Approved: func(id.Service) id.Release { return "v1" }, Sender: sender, Clock: c, RepeatRatio: 0.2, RepeatReserve: 5,
+		Approved: func(id.Service) id.Release { return "v1" }, Sender: sender, Clock: c, Random: SystemRandom{}, RepeatRatio: 0.2, RepeatReserve: 5,
 	})}
 }
 
--- a/pkg/coordination/steer/work.go
+++ b/pkg/coordination/steer/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"celerypin.example/celerypin/pkg/coordination/place"
@@ -46,7 +45,7 @@
 	if !w.route.Repeatable() && !w.awaitTurn(ctx) {
 		return w.end(Gone, ReasonClientLeft, 0)
 	}
-	w.service = target(w.route.Targets)
+	w.service = w.target(w.route.Targets)
 	w.decision.Service = w.service
 	w.repeatsOf(w.service).Earn()
 	for {
@@ -87,7 +86,7 @@
 }
 
 // target chooses one of a route's services by weight.
-func target(targets []desired.Target) id.Service {
+func (s *Steerer[A]) target(targets []desired.Target) id.Service {
 	if len(targets) == 1 {
 		return targets[0].Service
 	}
@@ -98,7 +97,7 @@
 	if sum == 0 {
 		return targets[0].Service
 	}
-	n := rand.IntN(sum)
+	n := s.Random.IntN(sum)
 	for _, t := range targets {
 		if n -= max(t.Weight, 0); n < 0 {
 			return t.Service
@@ -255,7 +254,7 @@
 func (w *work[A]) end(fate Fate, reason Reason, pause time.Duration) Decision[A] {
 	w.decision.Fate, w.decision.Reason = fate, reason
 	if pause > 0 {
-		w.decision.RetryAfter = spread(pause)
+		w.decision.RetryAfter = w.spread(pause)
 	}
 	w.decision.Left = w.deadline.Sub(w.Clock.Now())
 	return w.decision
