--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,80 @@
+// Command soak runs celerypin as separate processes and lets faults happen to them.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"celerypin.example/celerypin/internal/soak"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run hosts as processes, let faults happen, and check the promises from what callers and upstreams saw",
+		Description: "Each run draws its schedule from its seed. Logs of failed runs are kept.\n" +
+			"Exit status 1: a promise did not hold, or a run could not be made.\n\n" +
+			"Example: soak --program target/celerypin --seed 7 --for 20s",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "run the celerypin binary at `PATH`", Value: "target/celerypin"},
+			&cli.Uint64Flag{Name: "seed", Usage: "begin with the seed `N`; drawn and printed without it"},
+			&cli.IntFlag{Name: "runs", Usage: "make `N` runs, each with the next seed", Value: 1},
+			&cli.DurationFlag{Name: "for", Usage: "let faults happen for `DURATION` in each run", Value: 20 * time.Second},
+			&cli.IntFlag{Name: "hosts", Usage: "run `N` hosts in each of six failure domains", Value: 1},
+			&cli.IntFlag{Name: "upstreams", Usage: "run `N` upstreams of each service in each failure domain", Value: 2},
+			&cli.IntFlag{Name: "callers", Usage: "let `N` callers send requests", Value: 24},
+			&cli.StringFlag{Name: "logs", Usage: "keep logs of processes below `DIRECTORY`", Value: filepath.Join(os.TempDir(), "celerypin-soak")},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	first := c.Uint64("seed")
+	if !c.IsSet("seed") {
+		var b [4]byte
+		if _, err := rand.Read(b[:]); err != nil {
+			return err
+		}
+		first = uint64(binary.BigEndian.Uint32(b[:]))
+	}
+	var failed error
+	for i := range c.Int("runs") {
+		seed := first + uint64(i)
+		logs := filepath.Join(c.String("logs"), fmt.Sprint(seed))
+		report, err := soak.Run(ctx, soak.Options{
+			Program: c.String("program"), Seed: seed, For: c.Duration("for"), HostsPerDomain: c.Int("hosts"),
+			UpstreamsPerDomain: c.Int("upstreams"), Callers: c.Int("callers"), Logs: logs, Progress: os.Stderr,
+		})
+		if report != nil {
+			report.Write(os.Stdout)
+		}
+		if err != nil {
+			failed = errors.Join(failed, fmt.Errorf("%w; logs in %s", err, logs))
+			continue
+		}
+		if err := os.RemoveAll(logs); err != nil {
+			return err
+		}
+	}
+	return failed
+}
--- a/internal/layers/layers.go
+++ b/internal/layers/layers.go
@@ -32,6 +32,7 @@
 	{"internal/edge/", Assembly},
 	{"internal/explain/", Assembly},
 	{"internal/loadmodel/", Assembly},
+	{"internal/soak/", Assembly},
 	{"internal/daemon/", Assembly},
 	{"internal/standin/", Assembly},
 	{"internal/demo/", Assembly},
