--- /dev/null
+++ b/pkg/coordination/roster/bench_test.go
@@ -0,0 +1,25 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkHubs measures what telling each other costs a host, for the slopes of
+// docs/CAPACITY.md: processor time for each second that passes, and letters.
+func BenchmarkHubs(b *testing.B) {
+	for _, size := range []struct{ regions, perDomain int }{{3, 11}, {3, 50}, {12, 25}, {12, 50}} {
+		c := newCrowd(size.regions, size.perDomain)
+		b.Run(fmt.Sprintf("%d_hosts_%d_regions", len(c.hosts), size.regions), func(b *testing.B) {
+			c.run(4*time.Second, nil)
+			c.letters = 0
+			for b.Loop() {
+				c.run(time.Second, nil)
+			}
+			perHost := float64(b.N) * float64(len(c.hosts))
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/perHost, "us/host/s")
+			b.ReportMetric(float64(c.letters)/perHost, "letters/host/s")
+		})
+	}
+}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -75,6 +76,8 @@
 	started clock.Instant
 	mu      sync.Mutex
 	listed  map[id.Host]Member
+	// ordered is the same by name; it is replaced, never changed.
+	ordered []Member
 	digests map[id.Host]heard
 	hubs    hubs
 }
@@ -111,6 +114,7 @@
 			r.listed[m.ID] = m
 		}
 	}
+	r.ordered = slices.SortedFunc(maps.Values(r.listed), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return r.meshed()
 }
 
@@ -136,18 +140,11 @@
 func (r *Roster) Listed() []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.members()
+	return slices.Clone(r.members())
 }
 
 // members returns the other hosts that the store lists, by name.
-func (r *Roster) members() []Member {
-	out := make([]Member, 0, len(r.listed))
-	for _, m := range r.listed {
-		out = append(out, m)
-	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
+func (r *Roster) members() []Member { return r.ordered }
 
 // Hear takes a digest. Older ones than the last change nothing, but incarnations
 // follow the time of day, which may be set back: once a host has been silent for
