--- a/internal/protocol/gossip/bulletin.go
+++ b/internal/protocol/gossip/bulletin.go
@@ -19,14 +19,13 @@
 // notice has numbers for names on the wire, because a bulletin carries many.
 type notice struct {
 	Host        id.Host        `cbor:"1,keyasint"`
-	Incarnation id.Incarnation `cbor:"2,keyasint"`
-	Sequence    id.Sequence    `cbor:"3,keyasint"`
-	AgeMs       uint32         `cbor:"4,keyasint,omitempty"`
-	Leaving     bool           `cbor:"5,keyasint,omitempty"`
-	Failing     bool           `cbor:"6,keyasint,omitempty"`
-	Requests    float32        `cbor:"7,keyasint,omitempty"`
-	Outcomes    []outcome      `cbor:"8,keyasint,omitempty"`
-	Bad         []bad          `cbor:"9,keyasint,omitempty"`
+	Incarnation id.Incarnation `cbor:"2,keyasint,omitempty"`
+	AgeMs       uint32         `cbor:"3,keyasint,omitempty"`
+	Leaving     bool           `cbor:"4,keyasint,omitempty"`
+	Failing     bool           `cbor:"5,keyasint,omitempty"`
+	Requests    float32        `cbor:"6,keyasint,omitempty"`
+	Outcomes    []outcome      `cbor:"7,keyasint,omitempty"`
+	Bad         []bad          `cbor:"8,keyasint,omitempty"`
 }
 
 type totals struct {
@@ -47,7 +46,7 @@
 	out := &bulletin{Totals: map[id.Region]totals{}}
 	for _, n := range b.Notices {
 		out.Notices = append(out.Notices, notice{
-			Host: n.Host, Incarnation: n.Incarnation, Sequence: n.Sequence, AgeMs: uint32(min(n.Age.Milliseconds(), math.MaxUint32)),
+			Host: n.Host, Incarnation: n.Incarnation, AgeMs: uint32(min(n.Age.Milliseconds(), math.MaxUint32)),
 			Leaving: n.Leaving, Failing: n.Failing, Requests: float32(n.Requests),
 			Outcomes: outcomesToWire(n.Outcomes), Bad: badToWire(n.Bad),
 		})
@@ -62,7 +61,7 @@
 	out := &roster.Bulletin{Totals: map[id.Region]quota.Totals{}}
 	for _, n := range b.Notices {
 		out.Notices = append(out.Notices, roster.Notice{
-			Host: n.Host, Incarnation: n.Incarnation, Sequence: n.Sequence, Age: time.Duration(n.AgeMs) * time.Millisecond,
+			Host: n.Host, Incarnation: n.Incarnation, Age: time.Duration(n.AgeMs) * time.Millisecond,
 			Leaving: n.Leaving, Failing: n.Failing, Requests: float64(n.Requests),
 			Outcomes: outcomesFromWire(n.Outcomes), Bad: badFromWire(n.Bad),
 		})
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -127,3 +127,16 @@
 		t.Errorf("got %d writes without any upstream, want none", len(got))
 	}
 }
+
+// TestNoticeWithoutOutcomesForgetsNone lets a hub say of a host, without its
+// incarnation, that it has no outcomes, between two times at which it has some.
+func TestNoticeWithoutOutcomesForgetsNone(t *testing.T) {
+	subject := release.Subject{Service: "desk", Release: "v2", Route: "swaps"}
+	c := newTally()
+	c.hear("h", 5, map[release.Subject]release.Counts{subject: {Requests: 10}})
+	c.hear("h", 0, nil)
+	c.hear("h", 5, map[release.Subject]release.Counts{subject: {Requests: 12}})
+	if got, want := c.counts()[subject].Requests, uint64(12); got != want {
+		t.Errorf("got %d requests, want %d", got, want)
+	}
+}
--- a/pkg/coordination/rollout/tally.go
+++ b/pkg/coordination/rollout/tally.go
@@ -24,6 +24,10 @@
 }
 
 func (t *tally) hear(host id.Host, inc id.Incarnation, counts map[release.Subject]release.Counts) {
+	if len(counts) == 0 {
+		// A host's incarnation is not told without outcomes.
+		return
+	}
 	l := t.hosts[host]
 	if l == nil || l.incarnation != inc {
 		l = &last{incarnation: inc, counts: map[release.Subject]release.Counts{}}
--- a/pkg/coordination/roster/letter.go
+++ b/pkg/coordination/roster/letter.go
@@ -22,9 +22,9 @@
 
 // Notice is what a hub says of another host.
 type Notice struct {
-	Host        id.Host
+	Host id.Host
+	// Incarnation is that of Outcomes, 0 if there are none.
 	Incarnation id.Incarnation
-	Sequence    id.Sequence
 	// Age is how long ago the host said it.
 	Age      time.Duration
 	Leaving  bool
@@ -159,10 +159,11 @@
 
 func (h *heard) notice(now clock.Instant) Notice {
 	d := &h.digest
-	return Notice{
-		Host: d.Host.ID, Incarnation: d.Incarnation, Sequence: d.Sequence, Age: now.Sub(h.at),
-		Leaving: d.Leaving, Failing: d.Failing, Requests: d.Requests, Outcomes: d.Outcomes, Bad: d.Bad,
+	n := Notice{Host: d.Host.ID, Age: now.Sub(h.at), Leaving: d.Leaving, Failing: d.Failing, Requests: d.Requests, Outcomes: d.Outcomes, Bad: d.Bad}
+	if len(d.Outcomes) > 0 {
+		n.Incarnation = d.Incarnation
 	}
+	return n
 }
 
 // unanswered returns the hosts that told this one something and get no other
@@ -244,7 +245,7 @@
 		return Digest{}, false
 	}
 	d := Digest{
-		Incarnation: n.Incarnation, Sequence: n.Sequence, Host: m.Host, Leaving: n.Leaving, Failing: n.Failing,
+		Incarnation: n.Incarnation, Host: m.Host, Leaving: n.Leaving, Failing: n.Failing,
 		Requests: n.Requests, Outcomes: n.Outcomes, Bad: n.Bad,
 	}
 	if known {
