--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -141,6 +141,7 @@
 func (l *upstreamList) listings(now clock.Instant) []place.Listing {
 	var out []place.Listing
 	own := l.edge.settings.Load().Region
+	hosts := l.edge.roster.ColdSenders(now)
 	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
 		e := l.entries[key]
 		if l.evacuated[e.info.FailureDomain] {
@@ -153,8 +154,8 @@
 		}
 		// Only hosts of its own region send to a cold upstream, so that each has a
 		// part of its bound that is of use.
-		if e.info.Region == own {
-			listing.ColdPerSecond = perSecond * l.edge.roster.ColdShare(e.info.ID, senders, now)
+		if e.info.Region == own && now < listing.ColdUntil {
+			listing.ColdPerSecond = perSecond * hosts.Share(e.info.ID, senders)
 		}
 		out = append(out, listing)
 	}
--- a/pkg/coordination/roster/duties.go
+++ b/pkg/coordination/roster/duties.go
@@ -7,31 +7,43 @@
 	"celerypin.example/celerypin/pkg/state/id"
 )
 
-// ColdShare returns this host's part of what a cold upstream of its region may
-// get, as one over a number of hosts, or 0 if others send. Each sender may send
-// one request at once beside its rate, so only as many hosts send as the bound
-// has room for, of those that clients use; all hosts name the same ones.
-func (r *Roster) ColdShare(upstream id.Upstream, most int, now clock.Instant) float64 {
+// ColdSenders are the hosts of a region that may send to its cold upstreams.
+type ColdSenders struct {
+	self  id.Host
+	hosts []id.Host
+}
+
+// ColdSenders returns the hosts of this region that clients use, which all hosts
+// name alike.
+func (r *Roster) ColdSenders(now clock.Instant) ColdSenders {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	known := r.known(now)
-	r.mu.Unlock()
 	strong := strongest(known)
-	if !strong[r.self.ID] {
-		return 0
-	}
-	hosts, before := 0, 0
-	own := coldRank(r.self.ID, upstream)
+	out := ColdSenders{self: r.self.ID}
 	for _, h := range known {
-		if h.Region != r.self.Region || !strong[h.ID] {
-			continue
+		if h.Region == r.self.Region && strong[h.ID] {
+			out.hosts = append(out.hosts, h.ID)
 		}
-		hosts++
-		if coldRank(h.ID, upstream) > own {
+	}
+	return out
+}
+
+// Share returns this host's part of what a cold upstream of its region may get,
+// as one over a number of hosts, or 0 if others send. Each sender may send one
+// request at once beside its rate, so only as many hosts send as the bound has
+// room for; all hosts name the same ones.
+func (s ColdSenders) Share(upstream id.Upstream, most int) float64 {
+	before, sends := 0, false
+	own := coldRank(s.self, upstream)
+	for _, h := range s.hosts {
+		sends = sends || h == s.self
+		if coldRank(h, upstream) > own {
 			before++
 		}
 	}
-	senders := min(hosts, max(most, 1))
-	if before >= senders {
+	senders := min(len(s.hosts), max(most, 1))
+	if !sends || before >= senders {
 		return 0
 	}
 	return 1 / float64(senders)
--- a/pkg/coordination/roster/letter.go
+++ b/pkg/coordination/roster/letter.go
@@ -235,13 +235,8 @@
 		return Digest{}, false
 	}
 	if known && at <= old.at {
-		if old.direct && now.Sub(old.at) >= liveFor {
-			old.direct = false
-		}
-		if !old.direct {
-			old.asOf = now
-			r.digests[m.ID] = old
-		}
+		old.direct = false
+		old.asOf = now
 		return Digest{}, false
 	}
 	d := Digest{
@@ -252,6 +247,6 @@
 		// What the host told directly before is kept until it lapses.
 		d.Quota = old.digest.Quota
 	}
-	r.digests[m.ID] = heard{digest: d, at: at, asOf: now}
+	r.digests[m.ID] = &heard{digest: d, at: at, asOf: now}
 	return d, true
 }
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -78,7 +78,7 @@
 	listed  map[id.Host]Member
 	// ordered is the same by name; it is replaced, never changed.
 	ordered []Member
-	digests map[id.Host]heard
+	digests map[id.Host]*heard
 	hubs    hubs
 }
 
@@ -100,7 +100,7 @@
 
 // New returns the roster of a host that knows only itself.
 func New(self Member, now clock.Instant) *Roster {
-	return &Roster{self: self, started: now, listed: map[id.Host]Member{}, digests: map[id.Host]heard{}, hubs: newHubs(now)}
+	return &Roster{self: self, started: now, listed: map[id.Host]Member{}, digests: map[id.Host]*heard{}, hubs: newHubs(now)}
 }
 
 // SetListed replaces the hosts that the store lists, and tells whether they are
@@ -159,24 +159,33 @@
 		return false
 	}
 	r.hubs.heardDirectly(&d, now)
-	r.digests[d.Host.ID] = heard{digest: d, at: now, asOf: now, direct: true}
+	r.digests[d.Host.ID] = &heard{digest: d, at: now, asOf: now, direct: true}
 	return true
 }
 
-// Live returns the digests of the other hosts that live, by name.
-func (r *Roster) Live(now clock.Instant) []Digest {
+// Live returns the digests of the other hosts that live, by name. They are not to
+// be changed.
+func (r *Roster) Live(now clock.Instant) []*Digest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.live(now)
 }
 
-func (r *Roster) live(now clock.Instant) []Digest {
-	var out []Digest
-	for _, h := range r.digests {
-		if h.lives(now) {
-			out = append(out, h.digest)
+func (r *Roster) live(now clock.Instant) []*Digest {
+	out := make([]*Digest, 0, len(r.digests))
+	for _, m := range r.members() {
+		if h, known := r.digests[m.ID]; known && h.lives(now) {
+			out = append(out, &h.digest)
+		}
+	}
+	listed := len(out)
+	for name, h := range r.digests {
+		if _, known := r.listed[name]; !known && h.lives(now) {
+			out = append(out, &h.digest)
 		}
 	}
-	slices.SortFunc(out, func(a, b Digest) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	if len(out) > listed {
+		slices.SortFunc(out, func(a, b *Digest) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	}
 	return out
 }
--- a/pkg/coordination/roster/roster_test.go
+++ b/pkg/coordination/roster/roster_test.go
@@ -34,7 +34,7 @@
 	for _, m := range members {
 		r := New(m, c.Now())
 		r.SetListed(members)
-		if part := r.ColdShare("u-1", 6, c.Now()); part > 0 {
+		if part := r.ColdSenders(c.Now()).Share("u-1", 6); part > 0 {
 			senders++
 			sum += part
 		}
