--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/mirror"
 	"celerypin.example/celerypin/platform"
@@ -32,6 +33,9 @@
 	firstStale, lastStale = 1500 * time.Millisecond, 2500 * time.Millisecond
 	// ownStale is the same for the system's own rows.
 	ownStale = 5 * time.Second
+	// upstreamPausePart is the pause after a read that found changed upstreams, as a
+	// part of the time in which changes are due; they change many times a second.
+	upstreamPausePart = 0.125
 	// actTime is what a host needs to act on a change that it has read.
 	actTime = 500 * time.Millisecond
 	// staleCheck is the interval at which the age is looked at.
@@ -81,7 +85,7 @@
 		store: store, clock: c, log: log, pending: map[platform.Table][]mirror.Row{},
 		tables: map[platform.Table]*copied{
 			platform.Operator:  {Table: mirror.New(), wait: feedWait, stale: stale},
-			platform.Upstreams: {Table: mirror.New(), wait: feedWait, stale: stale},
+			platform.Upstreams: {Table: mirror.New(), wait: feedWait, pause: time.Duration(upstreamPausePart * float64(due)), stale: stale},
 			platform.Own:       {Table: mirror.New(), wait: ownWait, pause: ownPause, stale: ownStale},
 		},
 	}
@@ -213,11 +217,12 @@
 }
 
 // vouched takes the word of the host that reads for this one: its copies are
-// complete as of these versions, and were so at these ages.
-func (c *copies) vouched(versions map[string]mirror.Version, ages map[string]time.Duration, now clock.Instant) {
+// complete as of these versions, and were so at these ages. A copy that reflects
+// the last change is then as complete as the reader's.
+func (c *copies) vouched(d *roster.Digest, now clock.Instant) {
 	for name, table := range c.tables {
-		age, told := ages[string(name)]
-		if told && table.Version() >= versions[string(name)] {
+		age, told := d.Ages[string(name)]
+		if told && table.Confirm(d.Changed[string(name)], d.Versions[string(name)]) {
 			table.freshAt.Store(max(table.freshAt.Load(), int64(now.Add(-age))))
 		}
 	}
@@ -244,11 +249,12 @@
 	return false
 }
 
-// versions returns the versions as of which the copies are complete.
-func (c *copies) versions() map[string]mirror.Version {
-	out := map[string]mirror.Version{}
+// versions returns the versions as of which the copies are complete, and those of
+// their last changes.
+func (c *copies) versions() (complete, changed map[string]mirror.Version) {
+	complete, changed = map[string]mirror.Version{}, map[string]mirror.Version{}
 	for name, table := range c.tables {
-		out[string(name)] = table.Version()
+		complete[string(name)], changed[string(name)] = table.Version(), table.Changed()
 	}
-	return out
+	return complete, changed
 }
--- /dev/null
+++ b/internal/edge/copies_test.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/internal/logging"
+	"celerypin.example/celerypin/pkg/coordination/roster"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/mirror"
+	"celerypin.example/celerypin/platform"
+)
+
+// TestCopyWithTheLastChangeIsFresh lets the store's versions move on for other
+// tables: a copy that has the last change must not seem old, or every host reads
+// for itself.
+func TestCopyWithTheLastChangeIsFresh(t *testing.T) {
+	c := clock.NewFake()
+	copies := newCopies(nil, c, logging.Discard(), 2*time.Second)
+	row := mirror.Row{Key: "k", Version: 5}
+	copies.relayed(platform.Operator, mirror.Changes{Rows: []mirror.Row{row}, Version: 5, Full: true})
+	c.Advance(10 * time.Second)
+	name := string(platform.Operator)
+	reader := func(changed mirror.Version) *roster.Digest {
+		return &roster.Digest{
+			Versions: map[string]mirror.Version{name: 90}, Changed: map[string]mirror.Version{name: changed},
+			Ages: map[string]time.Duration{name: 300 * time.Millisecond},
+		}
+	}
+	copies.vouched(reader(6), c.Now())
+	if _, told := copies.ages(c.Now())[name]; told {
+		t.Error("got a copy that lacks a change taken to be fresh, want it old")
+	}
+	copies.vouched(reader(5), c.Now())
+	if got, want := copies.ages(c.Now())[name], 300*time.Millisecond; got != want {
+		t.Errorf("got an age of %v, want %v", got, want)
+	}
+	if got, want := copies.tables[platform.Operator].Version(), mirror.Version(90); got != want {
+		t.Errorf("got the copy complete as of %d, want %d", got, want)
+	}
+}
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -28,6 +28,9 @@
 	releasePrefix = "release/"
 	// announceInterval is the pause before a failed announcement is repeated.
 	announceInterval = 500 * time.Millisecond
+	// settleTime is how long a host that has just started leaves reading for others to
+	// those that may be better placed; it knows the tables from its start.
+	settleTime = 1200 * time.Millisecond
 	// pruneInterval is how often rows of hosts that are gone are looked for.
 	pruneInterval = 30 * time.Second
 )
@@ -36,12 +39,14 @@
 // snapshots that requests are decided on. One goroutine runs it; what others
 // bring waits in queues.
 type keeper struct {
-	edge  *Edge
-	self  roster.Member
-	log   *logging.Log
-	rang  chan struct{}
-	rolls *rollout.Keeper
-	fleet *upstreamList
+	edge *Edge
+	self roster.Member
+	log  *logging.Log
+	// started is when the host's process began.
+	started clock.Instant
+	rang    chan struct{}
+	rolls   *rollout.Keeper
+	fleet   *upstreamList
 
 	mu    sync.Mutex
 	heard []heard
@@ -77,7 +82,7 @@
 
 func newKeeper(e *Edge, self roster.Member, log *logging.Log) *keeper {
 	return &keeper{
-		edge: e, self: self, log: log, rang: make(chan struct{}, 1),
+		edge: e, self: self, log: log, started: e.clock.Now(), rang: make(chan struct{}, 1),
 		rolls: rollout.New(e.settings.Load().Bounds.ExposureShare), fleet: newUpstreamList(e, log),
 		sentAt: map[relayKey]clock.Instant{}, writing: map[string]bool{}, orders: map[id.Service]rollout.Order{}, records: map[id.Service]rollout.Record{},
 		releasesNow: map[id.Service]id.Release{},
@@ -123,7 +128,7 @@
 		}
 	}
 	k.reader = k.edge.roster.Reader(k.edge.copies.failing(), k.edge.leaving.Load(), now)
-	k.edge.copies.reading.Store(k.reader == k.self.ID)
+	k.edge.copies.reading.Store(k.reader == k.self.ID && now.Sub(k.started) >= settleTime)
 	k.stepReleases(ctx, now)
 	k.fleet.step(now)
 	k.stepShares(now)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -51,7 +51,7 @@
 	}
 	for name, table := range k.edge.copies.tables {
 		theirs := d.Versions[string(name)]
-		if table.Version() <= theirs || !k.mayRelay(relayKey{to, string(name)}, now) {
+		if table.Changed() <= theirs || !k.mayRelay(relayKey{to, string(name)}, now) {
 			continue
 		}
 		k.edge.mesh.Send(to, gossip.Message{Rows: &gossip.Rows{Table: string(name), Changes: table.Since(theirs)}})
@@ -88,7 +88,7 @@
 	for _, h := range all {
 		if k.edge.roster.Hear(*h.digest, now) {
 			if h.digest.Host.ID == k.reader && !h.digest.Failing {
-				k.edge.copies.vouched(h.digest.Versions, h.digest.Ages, now)
+				k.edge.copies.vouched(h.digest, now)
 			}
 			k.takeOutcomes(h.digest)
 		}
@@ -115,9 +115,10 @@
 	outcomes := k.edge.recorder.Counts()
 	k.rolls.Hear(k.self.ID, k.self.Incarnation, outcomes)
 	k.told = k.edge.shares.Tell()
+	complete, changed := k.edge.copies.versions()
 	own := roster.Digest{
 		Incarnation: k.self.Incarnation, Sequence: k.sequence, Host: k.self.Host, Leaving: !k.edge.Ready(),
-		Versions: k.edge.copies.versions(), Ages: k.edge.copies.ages(now), Failing: k.edge.copies.failing(), Quota: k.told, Requests: k.edge.shares.Requests(),
+		Versions: complete, Changed: changed, Ages: k.edge.copies.ages(now), Failing: k.edge.copies.failing(), Quota: k.told, Requests: k.edge.shares.Requests(),
 		Outcomes: outcomes, Bad: k.rolls.Bad(),
 	}
 	var accounts []*desired.Account
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -57,6 +57,7 @@
 	Leaving       bool                      `cbor:"leaving,omitempty"`
 	Follows       bool                      `cbor:"follows,omitempty"`
 	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
+	Changed       map[string]mirror.Version `cbor:"changed,omitempty"`
 	Ages          map[string]uint32         `cbor:"ages_ms,omitempty"`
 	Failing       bool                      `cbor:"failing,omitempty"`
 	Quotas        []told                    `cbor:"quotas,omitempty"`
@@ -156,7 +157,7 @@
 func digestToWire(d *roster.Digest) *digest {
 	out := &digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
-		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, Failing: d.Failing, Requests: float32(d.Requests),
+		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, Changed: d.Changed, Failing: d.Failing, Requests: float32(d.Requests),
 		Ages: map[string]uint32{},
 	}
 	for table, age := range d.Ages {
@@ -225,7 +226,7 @@
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address, Capacity: d.Capacity},
-		Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, Failing: d.Failing, Requests: float64(d.Requests),
+		Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, Changed: d.Changed, Failing: d.Failing, Requests: float64(d.Requests),
 		Ages:     map[string]time.Duration{},
 		Quota:    quota.Told{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		Outcomes: outcomesFromWire(d.Outcomes), Bad: badFromWire(d.Bad),
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -28,7 +28,7 @@
 	outcomes := map[release.Subject]release.Counts{subject: {Requests: 9, Failed: 1, Slow: 2}}
 	digest := &roster.Digest{
 		Incarnation: 7, Sequence: 12, Host: fleet.Host{ID: "host-a", Region: "west", FailureDomain: "west-a", Address: "10.0.0.1:80", Capacity: 500},
-		Follows: true, Versions: map[string]mirror.Version{"op": 4}, Ages: map[string]time.Duration{"op": 40 * time.Millisecond},
+		Follows: true, Versions: map[string]mirror.Version{"op": 9}, Changed: map[string]mirror.Version{"op": 4}, Ages: map[string]time.Duration{"op": 40 * time.Millisecond},
 		Quota:    quota.Told{Demand: map[id.Account]float64{"choir": 2.5}, Part: map[id.Account]float64{"choir": 0.25}},
 		Requests: 31, Outcomes: outcomes, Bad: []release.ID{{Service: "desk", Release: "v2"}},
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -171,17 +172,15 @@
 // portsOfHost is how many ports in a row a host needs.
 const portsOfHost = 6
 
+// Ports of hosts are below those that the system gives to outgoing connections,
+// which could take them while a host is down.
+const firstPort, lastPort = 12000, 31000
+
 // freePorts returns the first of some ports in a row that are free now.
 func freePorts() (int, error) {
 	const tries = 200
 	for range tries {
-		first, err := net.Listen("tcp", loopback+":0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		_ = first.Close()
-		if free(port) {
+		if port := firstPort + rand.IntN(lastPort-firstPort); free(port) {
 			return port, nil
 		}
 	}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -34,6 +34,8 @@
 	Follows bool
 	// Versions are those as of which the host's copies of the tables are complete.
 	Versions map[string]mirror.Version
+	// Changed are those of the last changes of the tables.
+	Changed map[string]mirror.Version
 	// Ages are how long ago the copies were known to be complete.
 	Ages map[string]time.Duration
 	// Failing tells that the host cannot read the store.
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	rows    map[string]Row
 	version Version
+	// changed is the version of the last change of a row.
+	changed Version
 	// listed is the version of the last full listing. What was deleted before it
 	// is not known here row by row.
 	listed Version
@@ -43,6 +45,25 @@
 	return t.version
 }
 
+// Changed returns the version of the last change that the copy reflects.
+func (t *Table) Changed() Version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Confirm makes the copy complete as of version if it reflects all changes up to
+// it, of which the last was at changed, and tells whether it does.
+func (t *Table) Confirm(changed, version Version) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.version < changed {
+		return false
+	}
+	t.version = max(t.version, version)
+	return true
+}
+
 // Apply takes changed rows that make the copy complete as of version, given
 // that it was complete as of base. It returns the rows that changed here. If
 // the copy is older than base, the rows are taken but the version is not.
@@ -72,6 +93,7 @@
 		if !listed[key] && !r.Deleted && r.Version <= version {
 			r.Deleted, r.Value, r.Version = true, nil, version
 			t.rows[key] = r
+			t.changed = max(t.changed, version)
 			changed = append(changed, r)
 		}
 	}
@@ -86,6 +108,7 @@
 			continue
 		}
 		t.rows[r.Key] = r
+		t.changed = max(t.changed, r.Version)
 		changed = append(changed, r)
 	}
 	return changed
