--- a/internal/protocol/gossip/bulletin.go
+++ b/internal/protocol/gossip/bulletin.go
@@ -31,6 +31,7 @@
 type totals struct {
 	Weight   float32        `cbor:"weight"`
 	Unheard  float32        `cbor:"unheard,omitempty"`
+	Stale    bool           `cbor:"stale,omitempty"`
 	Accounts []accountTotal `cbor:"accounts"`
 }
 
@@ -73,7 +74,7 @@
 }
 
 func totalsToWire(t quota.Totals) totals {
-	out := totals{Weight: float32(t.Weight), Unheard: float32(t.Unheard)}
+	out := totals{Weight: float32(t.Weight), Unheard: float32(t.Unheard), Stale: t.Stale}
 	accounts := map[id.Account]bool{}
 	for _, m := range []map[id.Account]float64{t.Demand, t.Part, t.Silent} {
 		for account := range m {
@@ -90,7 +91,7 @@
 
 func totalsFromWire(t totals) quota.Totals {
 	out := quota.NewTotals()
-	out.Weight, out.Unheard = float64(t.Weight), float64(t.Unheard)
+	out.Weight, out.Unheard, out.Stale = float64(t.Weight), float64(t.Unheard), t.Stale
 	for _, a := range t.Accounts {
 		out.Demand[a.Account], out.Part[a.Account], out.Silent[a.Account] = float64(a.Demand), float64(a.Part), float64(a.Silent)
 	}
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -38,7 +38,7 @@
 		Outcomes: map[release.Subject]release.Counts{},
 	}
 	totals := quota.NewTotals()
-	totals.Weight, totals.Unheard = 4, 0.125
+	totals.Weight, totals.Unheard, totals.Stale = 4, 0.125, true
 	totals.Demand["choir"], totals.Part["choir"], totals.Silent["choir"] = 20, 0.5, 0.25
 	bulletin := &roster.Bulletin{
 		Notices: []roster.Notice{
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -216,7 +216,11 @@
 	if sh.part == 0 {
 		sh.part = peers.Even
 	}
-	if goal > sh.part {
+	switch {
+	case goal <= sh.part:
+	case peers.Stale:
+		goal = sh.part
+	default:
 		goal = sh.part + (goal-sh.part)*growth
 	}
 	sh.part = goal
--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -183,3 +183,25 @@
 		}
 	})
 }
+
+// TestNoGrowthWhileOthersAreQuiet lets the demand at one host rise while the last
+// that it heard of the others is getting old.
+func TestNoGrowthWhileOthersAreQuiet(t *testing.T) {
+	f := newFleet(2, 100, 100)
+	f.run(5*time.Second, []float64{30, 30})
+	before, _ := f.hosts[0].Share(account)
+	others := NewTotals()
+	others.AddLive(*f.told[1], 1)
+	others.Stale = true
+	for range 20 {
+		for range 30 {
+			f.hosts[0].Take(account, f.clock.Now())
+		}
+		f.clock.Advance(step)
+		f.hosts[0].Tell()
+		f.hosts[0].Step(f.quota, NewPeers(others, 1, 0.5), f.clock.Now())
+	}
+	if after, _ := f.hosts[0].Share(account); after > before*1.03 {
+		t.Errorf("got a rate of %.1f, want no more than the %.1f before", after, before)
+	}
+}
--- a/pkg/coordination/quota/totals.go
+++ b/pkg/coordination/quota/totals.go
@@ -14,6 +14,9 @@
 	Weight float64
 	// Unheard is the even part of those that have told nothing yet.
 	Unheard float64
+	// Stale tells that some of those that live were not heard for a while. Both sides
+	// of a cut see that of the other, and must not grow into each other's parts.
+	Stale bool
 	// Demand and Part are those of the hosts that live, by account. Silent is the
 	// parts that are left to hosts which were not heard lately, but may serve on.
 	Demand, Part, Silent map[id.Account]float64
@@ -47,11 +50,24 @@
 func (t *Totals) Add(other Totals) {
 	t.Weight += other.Weight
 	t.Unheard += other.Unheard
+	t.Stale = t.Stale || other.Stale
 	addAll(t.Demand, other.Demand, 1)
 	addAll(t.Part, other.Part, 1)
 	addAll(t.Silent, other.Silent, 1)
 }
 
+// Left returns what is left of earlier totals of the same hosts for those of them
+// that are not in t.
+func (t *Totals) Left(earlier Totals) map[id.Account]float64 {
+	out := map[id.Account]float64{}
+	addAll(out, earlier.Part, 1)
+	addAll(out, earlier.Silent, 1)
+	addAll(out, t.Part, -1)
+	addAll(out, t.Silent, -1)
+	maps.DeleteFunc(out, func(_ id.Account, n float64) bool { return n <= 0 })
+	return out
+}
+
 // Silenced returns the totals as they count when none of the hosts was heard
 // lately.
 func (t *Totals) Silenced() Totals {
--- a/pkg/coordination/roster/hub.go
+++ b/pkg/coordination/roster/hub.go
@@ -47,9 +47,11 @@
 	// followedSince is since when there are followers.
 	followedSince clock.Instant
 	totals        map[id.Region]regionTotals
-	steppedAt     clock.Instant
-	awakeSince    clock.Instant
-	probed        int
+	// inherited are the last totals of this region that another hub has told.
+	inherited  regionTotals
+	steppedAt  clock.Instant
+	awakeSince clock.Instant
+	probed     int
 }
 
 func newHubs(now clock.Instant) hubs {
--- a/pkg/coordination/roster/hub_test.go
+++ b/pkg/coordination/roster/hub_test.go
@@ -30,7 +30,9 @@
 	sequence id.Sequence
 	dead     bool
 	failing  bool
-	inbox    []Letter
+	// part is what the host uses of the account's quota.
+	part  float64
+	inbox []Letter
 }
 
 const (
@@ -60,7 +62,7 @@
 		}
 	}
 	for _, m := range members {
-		h := &crowdHost{Member: m, roster: New(m, c.clock.Now())}
+		h := &crowdHost{Member: m, roster: New(m, c.clock.Now()), part: 1 / float64(len(members))}
 		h.roster.SetListed(members)
 		c.hosts = append(c.hosts, h)
 		c.byName[m.ID] = h
@@ -100,7 +102,7 @@
 	h.sequence++
 	own := Digest{
 		Incarnation: 1, Sequence: h.sequence, Host: h.Host, Failing: h.failing, Requests: crowdDemand,
-		Quota: quota.Told{Demand: map[id.Account]float64{"choir": crowdDemand}, Part: map[id.Account]float64{"choir": 1 / float64(len(c.hosts))}},
+		Quota: quota.Told{Demand: map[id.Account]float64{"choir": crowdDemand}, Part: map[id.Account]float64{"choir": h.part}},
 	}
 	letters, _ := h.roster.Letters(own, crowdAccounts, now)
 	for _, l := range letters {
@@ -241,6 +243,31 @@
 	}
 }
 
+// TestNewHubLeavesSilentHostsTheirParts cuts the failure domain off whose hosts
+// use the smaller part of a quota. Its new hub has never heard what the hosts on
+// the other side use.
+func TestNewHubLeavesSilentHostsTheirParts(t *testing.T) {
+	c := newCrowd(3, 11)
+	const large = 0.3
+	for _, h := range c.hosts {
+		h.part = 0.2 / float64(len(c.hosts))
+		if h.FailureDomain == "r0-0" && h.Capacity == strongHost {
+			h.part = large
+		}
+	}
+	c.run(6*time.Second, nil)
+	in := func(h *crowdHost) bool { return h.FailureDomain == "r0-1" }
+	c.cut = func(a, b *crowdHost) bool { return in(a) != in(b) }
+	h := c.byName["r0-1-00"]
+	told := quota.Told{Demand: map[id.Account]float64{"choir": crowdDemand}, Part: map[id.Account]float64{"choir": h.part}}
+	c.run(12*time.Second, func(at time.Duration) {
+		peers := h.roster.QuotaPeers(told, crowdAccounts, c.clock.Now())
+		if at >= 2*time.Second && !peers.Stale && peers.Silent["choir"] < 2*large {
+			t.Errorf("%v after the cut: got %.3f left to silent hosts, want the %.1f that they use, or no growth", at, peers.Silent["choir"], 2*large)
+		}
+	})
+}
+
 // TestDirectoryNamesTheStrongHosts keeps clients, who choose at random, from weak
 // hosts while there are strong ones.
 func TestDirectoryNamesTheStrongHosts(t *testing.T) {
--- a/pkg/coordination/roster/letter.go
+++ b/pkg/coordination/roster/letter.go
@@ -223,6 +223,9 @@
 		if !far || region == sender.Region {
 			r.hubs.totals[region] = regionTotals{Totals: t, at: now}
 		}
+		if region == r.self.Region {
+			r.hubs.inherited = regionTotals{Totals: t, at: now}
+		}
 	}
 	return out
 }
--- a/pkg/coordination/roster/quotas.go
+++ b/pkg/coordination/roster/quotas.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"time"
+
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
@@ -20,6 +22,10 @@
 	// idleWeight is the weight of a host that the directory does not name while
 	// stronger ones of its failure domain live; others have the weight 1.
 	idleWeight = 0.1
+	// quietFor is how long a host may be silent before others stop growing into what
+	// may be its part, and quietTotals the same for the totals of a region, which
+	// pass through two hubs.
+	quietFor, quietTotals = 1500 * time.Millisecond, 1800 * time.Millisecond
 )
 
 // QuotaPeers returns what is known of the other hosts as far as the accounts'
@@ -52,6 +58,7 @@
 		switch age := now.Sub(t.at); {
 		case age < relayedFor:
 			others.Add(t.Totals)
+			others.Stale = others.Stale || age > quietTotals
 		case age < reservedFor:
 			others.Add(t.Silenced())
 		}
@@ -64,6 +71,13 @@
 	weights, sum := r.weights(now)
 	t := r.sum(r.byRegion()[r.self.Region], weights, sum, accounts, now)
 	t.AddLive(own, weights[r.self.ID])
+	// What the last hub knew of hosts that never told this one stays theirs.
+	if t.Unheard > 0 && now.Sub(r.hubs.inherited.at) < reservedFor {
+		t.Unheard = 0
+		for account, part := range t.Left(r.hubs.inherited.Totals) {
+			t.Silent[account] += part
+		}
+	}
 	return t
 }
 
@@ -73,10 +87,11 @@
 	for _, m := range hosts {
 		h, known := r.digests[m.ID]
 		switch even := weights[m.ID] / all; {
-		case !known || now.Sub(h.at) >= reservedFor:
+		case !known || now.Sub(h.at) >= reservedFor || len(h.digest.Quota.Part) == 0:
 			t.Unheard += even
 		case h.lives(now):
 			t.AddLive(h.digest.Quota, weights[m.ID])
+			t.Stale = t.Stale || now.Sub(h.at) > quietFor
 		default:
 			t.AddSilent(accounts, h.digest.Quota, even)
 		}
