--- a/cmd/celerypin/cmds/explain.go
+++ b/cmd/celerypin/cmds/explain.go
@@ -15,10 +15,15 @@
 		Name:  "explain",
 		Usage: "show what the logs of all hosts say about a request",
 		Description: "Reads log files of any number of hosts and prints, in the order of time, the\n" +
-			"lines of one request and what its hosts learned in the seconds before.\n\n" +
+			"lines of one request and what its hosts learned in the seconds before. With\n" +
+			"--events it prints the time line of all hosts, without requests.\n\n" +
 			"Example: celerypin explain 3789faa34162d1da edge-1.log edge-2.log",
 		ArgsUsage: "ID FILE...",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: eventsFlag, Usage: "print the time line of all events; takes files and no id"}},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool(eventsFlag) {
+				return explainEvents(c, c.Args().Slice())
+			}
 			if c.Args().Len() < 2 {
 				return fmt.Errorf("%w: want the id of a request and one log file or more", ErrUsage)
 			}
@@ -27,15 +32,36 @@
 	}
 }
 
-func explainRequest(c *cli.Command, id string, files []string) error {
+const eventsFlag = "events"
+
+func explainEvents(c *cli.Command, files []string) error {
+	if len(files) == 0 {
+		return fmt.Errorf("%w: want one log file or more", ErrUsage)
+	}
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	return explain.Write(c.Root().Writer, explain.Events(lines))
+}
+
+func readLogs(files []string) ([]explain.Line, error) {
 	var lines []explain.Line
 	for _, name := range files {
 		read, err := readLog(name)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines = append(lines, read...)
 	}
+	return lines, nil
+}
+
+func explainRequest(c *cli.Command, id string, files []string) error {
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
 	found, err := explain.Request(lines, id)
 	if err != nil {
 		return err
--- a/internal/edge/keeper.go
+++ b/internal/edge/keeper.go
@@ -56,8 +56,10 @@
 	writing   map[string]bool
 	announced bool
 
-	// reader is the host of the region that reads the store for the others.
+	// reader is the host of the region that reads the store for the others, live are
+	// the hosts that were heard lately.
 	reader      id.Host
+	live        map[id.Host]bool
 	orders      map[id.Service]rollout.Order
 	records     map[id.Service]rollout.Record
 	sequence    id.Sequence
@@ -127,7 +129,7 @@
 			k.takeRow(name, row, now)
 		}
 	}
-	k.reader = k.edge.roster.Reader(k.edge.copies.failing(), k.edge.leaving.Load(), now)
+	k.noteHosts(now)
 	k.edge.copies.reading.Store(k.reader == k.self.ID && now.Sub(k.started) >= settleTime)
 	k.stepReleases(ctx, now)
 	k.fleet.step(now)
@@ -140,6 +142,28 @@
 	}
 }
 
+// noteHosts looks at who lives and who reads, and logs what has changed.
+func (k *keeper) noteHosts(now clock.Instant) {
+	live := map[id.Host]bool{}
+	for _, d := range k.edge.roster.Live(now) {
+		live[d.Host.ID] = true
+		if !k.live[d.Host.ID] {
+			k.log.With("other", d.Host.ID).With("leaving", d.Leaving).Info("Another host is heard.")
+		}
+	}
+	for name := range k.live {
+		if !live[name] {
+			k.log.With("other", name).With("live", len(live)).Warn("Another host is not heard any more.")
+		}
+	}
+	k.live = live
+	reader := k.edge.roster.Reader(k.edge.copies.failing(), k.edge.leaving.Load(), now)
+	if reader != k.reader {
+		k.log.With("reader", reader).With("before", k.reader).Info("The reader of the store has changed.")
+		k.reader = reader
+	}
+}
+
 // takeRow takes one changed row of the store.
 func (k *keeper) takeRow(name platform.Table, row mirror.Row, now clock.Instant) {
 	switch name {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -85,6 +85,19 @@
 	return out, nil
 }
 
+// Events returns the lines that are not about requests, in the order of time: what
+// the processes believed, and when that changed.
+func Events(lines []Line) []Line {
+	var out []Line
+	for _, l := range lines {
+		if _, aboutRequest := l.Fields["attempt_id"]; !aboutRequest {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return out
+}
+
 // concerns tells whether a line about a host's state may explain one of the
 // request's lines: the same host, shortly before, and no other upstream's or
 // service's matter.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -28,6 +28,11 @@
 		t.Fatal(err)
 	}
 	golden.Check(t, "explained.golden", out.Bytes())
+	out.Reset()
+	if err := Write(&out, Events(lines)); err != nil {
+		t.Fatal(err)
+	}
+	golden.Check(t, "events.golden", out.Bytes())
 	if _, err := Request(lines, "a-9"); !errors.Is(err, ErrNotFound) {
 		t.Errorf("got %v, want %v", err, ErrNotFound)
 	}
