--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,7 +15,7 @@
 	// shortest and longest bound how long a fault lasts.
 	shortest, longest = 500 * time.Millisecond, 5 * time.Second
 	// meanGap is the mean time between the beginnings of faults, so that some overlap.
-	meanGap = 1500 * time.Millisecond
+	meanGap = time.Second
 	// graceTime is the time between SIGTERM and SIGKILL, leaveTime that for which a
 	// leaving upstream serves on.
 	graceTime, leaveTime = 6 * time.Second, 4 * time.Second
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -155,6 +155,9 @@
 // Broadcast does the same for several hosts, and encodes the message once.
 func (m *Mesh[M]) Broadcast(to []id.Host, message M) { m.send(anyone, message, m.linksTo(to)) }
 
+// Linked tells whether there is a connection to a host.
+func (m *Mesh[M]) Linked(h id.Host) bool { return len(m.linksTo([]id.Host{h})) > 0 }
+
 // anyone is the addressee of messages to several hosts. That a connection leads
 // to the right host was found out when it was made.
 const anyone id.Host = ""
--- a/internal/transport/host/mesh_test.go
+++ b/internal/transport/host/mesh_test.go
@@ -136,3 +136,48 @@
 		}
 	}
 }
+
+// TestHubIsDialledWhateverItsName connects a host to one with a lower name, which
+// does not dial by itself, and lets go of it again.
+func TestHubIsDialledWhateverItsName(t *testing.T) {
+	a, b := newNode(t, "a", "secret"), newNode(t, "b", "secret")
+	b.mesh.Connect(map[id.Host]string{"a": a.address()})
+	exchange(t, a, b, func() bool {
+		fromB, _ := a.events.counts()
+		return fromB > 0
+	})
+	b.mesh.Connect(map[id.Host]string{})
+	for until := time.Now().Add(patience); b.mesh.Linked("a"); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("waited in vain for the connection to end")
+		}
+	}
+}
+
+// TestHostsThatDialEachOtherStayConnected lets both ends dial.
+func TestHostsThatDialEachOtherStayConnected(t *testing.T) {
+	a, b := newNode(t, "a", "secret"), newNode(t, "b", "secret")
+	a.mesh.Connect(map[id.Host]string{"b": b.address()})
+	b.mesh.Connect(map[id.Host]string{"a": a.address()})
+	for range 3 {
+		before, _ := b.events.counts()
+		exchange(t, a, b, func() bool { n, _ := b.events.counts(); return n > before+10 })
+	}
+}
+
+func TestBroadcastReachesAll(t *testing.T) {
+	a, b, c := newNode(t, "a", "secret"), newNode(t, "b", "secret"), newNode(t, "c", "secret")
+	a.mesh.Connect(map[id.Host]string{"b": b.address(), "c": c.address()})
+	beat := agent.Message{Heartbeat: &agent.Heartbeat{Incarnation: 1}}
+	for until := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		a.mesh.Broadcast([]id.Host{"b", "c"}, beat)
+		atB, _ := b.events.counts()
+		atC, _ := c.events.counts()
+		if atB > 0 && atC > 0 {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("got %d and %d messages, want some at both", atB, atC)
+		}
+	}
+}
