--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -176,20 +176,21 @@
 
 func cutStore(s *soak, rng *rand.Rand, d time.Duration) {
 	h := s.anyHost(rng)
-	way := faultnet.Direction(rng.IntN(2))
-	s.say("%s cut from the store in direction %d for %v", h.settings.Host.ID, way, d)
-	h.store.Cut(way, true)
-	time.Sleep(d)
-	h.store.Cut(way, false)
+	s.cut(h.store, "connections of "+string(h.settings.Host.ID)+" to the store", rng, d)
 }
 
 func cutOneWay(s *soak, rng *rand.Rand, d time.Duration) {
 	h := s.anyHost(rng)
+	s.cut(h.peers, "connections of others to "+string(h.settings.Host.ID), rng, d)
+}
+
+// cut lets nothing pass a relay in one direction for a while.
+func (s *soak) cut(r *faultnet.Relay, what string, rng *rand.Rand, d time.Duration) {
 	way := faultnet.Direction(rng.IntN(2))
-	s.say("connections of others to %s cut in direction %d for %v", h.settings.Host.ID, way, d)
-	h.peers.Cut(way, true)
+	s.say("%s cut in direction %d for %v", what, way, d)
+	r.Cut(way, true)
 	time.Sleep(d)
-	h.peers.Cut(way, false)
+	r.Cut(way, false)
 }
 
 func resetPeers(s *soak, rng *rand.Rand, _ time.Duration) {
--- a/pkg/coordination/roster/hub.go
+++ b/pkg/coordination/roster/hub.go
@@ -51,7 +51,8 @@
 	inherited  regionTotals
 	steppedAt  clock.Instant
 	awakeSince clock.Instant
-	probed     int
+	// lostCalls counts the calls on lost hosts.
+	lostCalls int
 }
 
 func newHubs(now clock.Instant) hubs {
@@ -214,10 +215,10 @@
 	if len(out) == 0 {
 		return "", false
 	}
-	r.hubs.probed++
+	r.hubs.lostCalls++
 	// Each one is called on several times in a row, as connecting takes a while.
-	return out[(r.hubs.probed/lostCalls)%len(out)], true
+	return out[(r.hubs.lostCalls/callsInARow)%len(out)], true
 }
 
-// lostCalls is how many times in a row a lost host is called on.
-const lostCalls = 4
+// callsInARow is how many times in a row a lost host is called on.
+const callsInARow = 4
--- a/pkg/coordination/roster/letter.go
+++ b/pkg/coordination/roster/letter.go
@@ -103,8 +103,8 @@
 // meshLetters sends the digest to the hosts of the region, and every other time
 // to the others. A host that leaves says so at once.
 func (r *Roster) meshLetters(own Digest) []Letter {
-	r.hubs.probed++
-	far := r.hubs.probed%farEvery == 0 || own.Leaving
+	r.rounds++
+	far := r.rounds%farEvery == 0 || own.Leaving
 	var to []id.Host
 	for _, m := range r.members() {
 		if far || m.Region == r.self.Region {
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -81,7 +81,9 @@
 	// ordered is the same by name; it is replaced, never changed.
 	ordered []Member
 	digests map[id.Host]*heard
-	hubs    hubs
+	// rounds counts the rounds of letters while there are no hubs.
+	rounds int
+	hubs   hubs
 }
 
 // heard is the last that is known of a host.
