--- a/pkg/coordination/roster/hub_test.go
+++ b/pkg/coordination/roster/hub_test.go
@@ -214,7 +214,11 @@
 	host := c.hosts[8]
 	old := c.byName[host.roster.Reader(false, false, c.clock.Now())]
 	old.failing = true
-	c.run(3*time.Second, nil)
+	c.run(5*time.Second, func(at time.Duration) {
+		if got := c.missing(all); got != 0 {
+			t.Errorf("%v after the change: got %d pairs of hosts of which one does not hear of the other, want none", at, got)
+		}
+	})
 	next := c.byName[host.roster.Reader(false, false, c.clock.Now())]
 	if next == old || next.Region != host.Region {
 		t.Errorf("got %s to read, want another host of the region", next.ID)
--- a/pkg/coordination/roster/letter.go
+++ b/pkg/coordination/roster/letter.go
@@ -234,12 +234,10 @@
 func (r *Roster) takeNotice(m Member, n Notice, now clock.Instant) (Digest, bool) {
 	at := now.Add(-n.Age)
 	old, known := r.digests[m.ID]
-	if known && old.direct && old.lives(now) {
-		return Digest{}, false
-	}
 	if known && at <= old.at {
-		old.direct = false
-		old.asOf = now
+		if !old.direct || !old.lives(now) {
+			old.direct, old.asOf = false, now
+		}
 		return Digest{}, false
 	}
 	d := Digest{
