--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -43,6 +43,8 @@
 	regions map[id.FailureDomain]id.Region
 	record  *record
 	client  *http.Client
+	// nextPort is where the ports of the next host are looked for.
+	nextPort int
 
 	mu        sync.Mutex
 	upstreams []*worker
@@ -141,7 +143,7 @@
 
 func (f *fleet) addHost(o Options, reg, dom, n int) error {
 	name := id.Host(fmt.Sprintf("host-%d-%d-%d", reg, dom, n))
-	ports, err := freePorts()
+	ports, err := f.freePorts()
 	if err != nil {
 		return err
 	}
@@ -176,15 +178,20 @@
 // which could take them while a host is down.
 const firstPort, lastPort = 12000, 31000
 
-// freePorts returns the first of some ports in a row that are free now.
-func freePorts() (int, error) {
-	const tries = 200
-	for range tries {
-		if port := firstPort + rand.IntN(lastPort-firstPort); free(port) {
+// freePorts returns the first of some ports in a row that are free now, and that
+// no host of this run has: those do not listen yet.
+func (f *fleet) freePorts() (int, error) {
+	if f.nextPort == 0 {
+		f.nextPort = firstPort + rand.IntN((lastPort-firstPort)/2)
+	}
+	for f.nextPort < lastPort {
+		port := f.nextPort
+		f.nextPort += portsOfHost
+		if free(port) {
 			return port, nil
 		}
 	}
-	return 0, fmt.Errorf("no %d free ports in a row after %d tries", portsOfHost, tries)
+	return 0, fmt.Errorf("no %d free ports in a row below %d", portsOfHost, lastPort)
 }
 
 func free(port int) bool {
