Bound what an upstream may send in answer to a request

Change: AnswerLimits bound heads, skipped bodies and streamed bodies by bytes, least rate and time; a connection on which one is exceeded is closed, never pooled, and its upstream counts as failed. Idle connections with unread bytes are closed. Unnamed answers count on new connections only; a request without an attempt gets a connection of its own. Heads read by net/http clients are bounded, too.

Measured: nine endless answers are given up within 1 MiB including both sockets' buffers (TestAnswerWithoutEndIsGivenUp).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// storeDialTimeout limits dialing the store.
 	storeDialTimeout = time.Second
+	// maxResponseHeaderBytes bounds the head of an answer of the store.
+	maxResponseHeaderBytes = 64 << 10
 	// headerTimeout limits reading a request's header on the listeners that do not
 	// serve clients' requests.
 	headerTimeout = 5 * time.Second
@@ -145,9 +147,10 @@
 	h.placer = place.New(s.Region, s.FailureDomain, s.Bounds.MaxShift, place.DefaultPolicy())
 	h.shares = quota.New(quota.Tolerance{Window: s.Bounds.QuotaWindow, Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack}, now)
 	h.roster = roster.New(self, now)
-	h.pool = http1.NewPool(http1.NewDialer(dialTimeout), c)
+	h.pool = http1.NewPool(http1.NewDialer(dialTimeout), http1.DefaultAnswerLimits, c)
 	h.store = platform.NewStore(s.Store, &http.Transport{
 		DialContext: http1.NewDialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	})
 	h.copies = newCopies(h.store, c, log.Part("store"), min(s.Bounds.ConfigApply, s.Bounds.Drain))
 	h.controller = newController(h, self, log.Part("control"))
@@ -155,7 +158,7 @@
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
 		State: h.state, Shares: h.shares, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
-		Sender: &sender{pool: h.pool}, Clock: c, Random: steer.SystemRandom{},
+		Sender: &sender{pool: h.pool, clock: c}, Clock: c, Random: steer.SystemRandom{},
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: s.Bounds.RetryExtra * retryReserveFraction / minHosts,
 	})
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -8,6 +8,7 @@
 
 	"celerypin.example/celerypin/internal/transport/http1"
 	"celerypin.example/celerypin/pkg/coordination/steer"
+	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/platform"
 )
@@ -16,7 +17,10 @@
 type callKey struct{}
 
 // sender sends requests to upstreams over HTTP/1.1.
-type sender struct{ pool *http1.Pool }
+type sender struct {
+	pool  *http1.Pool
+	clock clock.Clock
+}
 
 // errUnauthentic means that an answer does not prove that it comes from an upstream.
 var errUnauthentic = errors.New("the answer lacks the upstream's MAC")
@@ -27,8 +31,14 @@
 	in := call.Request
 	out := &http1.Request{
 		Method: in.Method, Target: target(in), Host: in.Host, Body: call.Body, Rest: call.Rest, Length: int64(len(call.Body)), NewConnection: p.NewConnection,
-		Header:  platform.UpstreamRequestHeader(in.Header, r.Attempt, p.Account, p.Upstream.Info.ID, p.Remaining),
-		Matches: func(status int, h http.Header) bool { return belongsTo(r.Attempt, status, h) },
+		Header: platform.UpstreamRequestHeader(in.Header, r.Attempt, p.Account, p.Upstream.Info.ID, p.Remaining),
+		Owner:  func(status int, h http.Header) http1.Owner { return ownerOf(r.Attempt, status, h) },
+		// The upstream's answer was classified by its head; what follows is judged here.
+		StreamFailed: func(error) { p.Upstream.RecordFailure(s.clock.Now()) },
+	}
+	if r.Attempt == "" {
+		// The answer cannot name the request, so no other may share its connection.
+		out.NewConnection, out.SingleUse = true, true
 	}
 	if call.Rest != nil {
 		out.Length = in.ContentLength
@@ -48,11 +58,17 @@
 	return r.RequestURI
 }
 
-// belongsTo reports whether an answer may belong to an attempt: the attempt has no
-// ID, or the answer names it, or the answer names none and lacks a MAC.
-func belongsTo(attempt id.Attempt, status int, h http.Header) bool {
+// ownerOf returns whose answer a head belongs to. A head that carries a MAC but names no
+// attempt is of an upstream that does not follow its protocol.
+func ownerOf(attempt id.Attempt, status int, h http.Header) http1.Owner {
 	head := platform.ParseUpstreamHead(status, h, false)
-	return attempt == "" || head.Attempt == attempt || (head.Attempt == "" && !head.Authentic)
+	switch {
+	case attempt == "" || head.Attempt == attempt:
+		return http1.OwnAnswer
+	case head.Attempt == "" && !head.Authentic:
+		return http1.UnnamedAnswer
+	}
+	return http1.ForeignAnswer
 }
 
 // failedExchange returns the result of a request that got no answer. The pool does
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -31,6 +31,8 @@
 	// queue is full, messages are dropped.
 	maxQueuedMessages = 256
 	dialTimeout       = 2 * time.Second
+	// maxHandshakeBytes bounds the head of the answer to a handshake.
+	maxHandshakeBytes = 16 << 10
 	// writeTimeout bounds the writing of one message.
 	writeTimeout = 2 * time.Second
 	// readTimeout is the time without a message after which a connection is closed:
@@ -102,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh[M]{
 		self: self, token: fleetToken(secret), codec: codec, events: events, log: log, clock: c,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHandshakeBytes}},
 		ctx:    ctx, cancel: cancel,
 		sentBytes:     metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
 		receivedBytes: metrics.NewRegisteredCounter("hosts.bytes_received", registry),
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -35,26 +34,15 @@
 	Rest *BodyReader
 	// Length is the length of the whole body in bytes, or -1 if unknown.
 	Length int64
-	// Matches reports whether an answer belongs to this request; other answers
-	// are skipped. If nil, every answer belongs to it.
-	Matches func(status int, h http.Header) bool
+	// Owner tells whose answer a head belongs to. If nil, every answer is this request's.
+	Owner func(status int, h http.Header) Owner
 	// NewConnection forbids the use of a pooled connection.
 	NewConnection bool
-}
-
-// Answer is an upstream's answer.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
-	// Rest replaces Body if the answer is too large to be buffered.
-	Rest *BodyReader
-	// Length is the announced length of the body in bytes, or -1 if unknown.
-	Length int64
-	// Close reports whether the connection closes after this answer.
-	Close bool
-	// ReusedConnection reports whether the exchange used a pooled connection.
-	ReusedConnection bool
+	// SingleUse closes the connection after the answer.
+	SingleUse bool
+	// StreamFailed, if set, is called once if the upstream breaks off the part of an answer
+	// that Rest reads, or exceeds the limits of such answers.
+	StreamFailed func(error)
 }
 
 // Limits of connections to upstreams.
@@ -67,11 +55,8 @@
 	idleMargin = 1500 * time.Millisecond
 	// maxIdlePerUpstream bounds the idle connections that are pooled for one key.
 	maxIdlePerUpstream = 12
-	// maxForeignAnswers bounds the answers to other requests that one exchange skips.
-	maxForeignAnswers = 2
-	// maxBufferedAnswerBytes is the largest body of an answer that is buffered
-	// whole before it is forwarded.
-	maxBufferedAnswerBytes = 1 << 20
+	// readBufferBytes is the size of the buffer through which a connection is read.
+	readBufferBytes = 4 << 10
 	// lateBodyTimeout bounds the writing of the rest of a request's body after
 	// an early answer.
 	lateBodyTimeout = 2 * time.Second
@@ -81,6 +66,7 @@
 // differs for each incarnation of an upstream. It is safe for concurrent use.
 type Pool struct {
 	dialer *net.Dialer
+	limits AnswerLimits
 	clock  clock.Clock
 	mu     sync.Mutex
 	idle   map[string][]*poolConn
@@ -90,15 +76,24 @@
 // poolConn is one connection to an upstream.
 type poolConn struct {
 	net.Conn
-	in      *bufio.Reader
+	limit *limitReader
+	in    *bufio.Reader
+	clock clock.Clock
+	// reused reports whether an earlier exchange used the connection.
+	reused  bool
 	lastUse clock.Instant
 	// maxIdle is the age from which the idle connection is not reused.
 	maxIdle time.Duration
 }
 
 // NewPool returns an empty pool.
-func NewPool(dialer *net.Dialer, c clock.Clock) *Pool {
-	return &Pool{dialer: dialer, clock: c, idle: map[string][]*poolConn{}}
+func NewPool(dialer *net.Dialer, limits AnswerLimits, c clock.Clock) *Pool {
+	return &Pool{dialer: dialer, limits: limits, clock: c, idle: map[string][]*poolConn{}}
+}
+
+func (p *Pool) newConn(conn net.Conn) *poolConn {
+	limit := &limitReader{in: conn, err: ErrAnswerTooLarge}
+	return &poolConn{Conn: conn, limit: limit, in: bufio.NewReaderSize(limit, readBufferBytes), clock: p.clock, maxIdle: maxIdleAge}
 }
 
 // Dialed returns the number of connections made so far.
@@ -108,8 +103,9 @@
 	return p.dialed
 }
 
-// Retain closes the idle connections whose key is no longer in use, and those
-// that are too old.
+// Retain closes the idle connections whose key is no longer in use, those that are too
+// old, and those that are closed or on which bytes have arrived that no request asked
+// for: unread bytes occupy memory.
 func (p *Pool) Retain(inUse func(key string) bool) {
 	now := p.clock.Now()
 	p.mu.Lock()
@@ -117,7 +113,7 @@
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if inUse(key) && now.Sub(c.lastUse) < c.maxIdle {
+			if inUse(key) && now.Sub(c.lastUse) < c.maxIdle && isIdle(c.Conn) {
 				kept = append(kept, c)
 				continue
 			}
@@ -170,8 +166,9 @@
 	if !r.NewConnection {
 		c = p.getIdle(key)
 	}
-	reused := c != nil
-	if c == nil {
+	if c != nil {
+		c.reused = true
+	} else {
 		conn, err := p.dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
 			return nil, errors.Join(ErrNotSent, err)
@@ -179,10 +176,10 @@
 		p.mu.Lock()
 		p.dialed++
 		p.mu.Unlock()
-		c = &poolConn{Conn: conn, in: bufio.NewReaderSize(conn, 4<<10), maxIdle: maxIdleAge}
+		c = p.newConn(conn)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	answer, err := p.exchange(key, c, r)
+	answer, err := p.exchange(ctx, key, c, r)
 	if !stop() && err == nil && answer.Rest == nil {
 		// The context ended just as the answer arrived, so the connection is closed.
 		answer.Close = true
@@ -194,13 +191,13 @@
 		}
 		return nil, err
 	}
-	answer.ReusedConnection = reused
+	answer.ReusedConnection = c.reused
 	return answer, nil
 }
 
 // exchange writes a request and reads its answer. A large body is written while
 // the answer is awaited.
-func (p *Pool) exchange(key string, c *poolConn, r *Request) (*Answer, error) {
+func (p *Pool) exchange(ctx context.Context, key string, c *poolConn, r *Request) (*Answer, error) {
 	written := make(chan error, 1)
 	inline := r.Rest == nil && len(r.Body) <= maxInlineBodyBytes
 	if inline {
@@ -218,18 +215,30 @@
 		}
 		go func() { written <- r.writeBody(c) }()
 	}
-	answer, reusable, err := c.read(r)
+	answer, reusable, err := c.read(r, p.limits, p.streamEnd(ctx))
 	if err != nil {
 		return nil, errors.Join(ErrNoAnswer, err)
 	}
+	reusable = reusable && !r.SingleUse
 	if answer.Rest != nil {
 		answer.Rest.onClose = func(complete bool) { p.finish(key, c, reusable && complete, written) }
+		answer.Rest.onFailure = r.StreamFailed
 		return answer, nil
 	}
 	p.finish(key, c, reusable, written)
 	return answer, nil
 }
 
+// streamEnd returns when the body of an answer must end that is forwarded while it
+// arrives.
+func (p *Pool) streamEnd(ctx context.Context) time.Time {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = p.clock.Wall()
+	}
+	return deadline.Add(p.limits.StreamGrace)
+}
+
 // maxInlineBodyBytes is the largest body that is written together with the head.
 const maxInlineBodyBytes = 16 << 10
 
@@ -304,79 +313,3 @@
 	}
 	return nil
 }
-
-// read returns the answer that belongs to the request, and reports whether the
-// connection is reusable.
-func (c *poolConn) read(r *Request) (*Answer, bool, error) {
-	request := &http.Request{Method: r.Method}
-	for skipped := 0; ; skipped++ {
-		response, err := c.readHead(request)
-		if err != nil {
-			return nil, false, err
-		}
-		answer, reusable, err := c.readBody(response)
-		if err != nil {
-			return nil, false, err
-		}
-		if r.Matches == nil || r.Matches(answer.Status, answer.Header) {
-			return answer, reusable, nil
-		}
-		if !reusable || answer.Rest != nil || skipped >= maxForeignAnswers {
-			return nil, false, errors.New("the answer belongs to another request")
-		}
-	}
-}
-
-// readHead reads the head of the next final response and skips interim ones.
-func (c *poolConn) readHead(request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.in, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the upstream switched protocols")
-		}
-	}
-}
-
-// readBody buffers a small body and leaves a large one to be streamed. It reports
-// whether the connection is reusable afterwards.
-func (c *poolConn) readBody(response *http.Response) (*Answer, bool, error) {
-	answer := &Answer{
-		Status: response.StatusCode, Header: response.Header, Close: response.Close, Length: response.ContentLength,
-	}
-	c.maxIdle = maxIdleFromHeader(response.Header.Get("Keep-Alive"))
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswerBytes))
-	if err != nil {
-		return nil, false, err
-	}
-	answer.Body = body
-	reusable := !response.Close
-	if len(body) < maxBufferedAnswerBytes || response.ContentLength == maxBufferedAnswerBytes {
-		return answer, reusable, nil
-	}
-	// Rest includes the buffered part, so that the writer encodes the body in one way.
-	answer.Body = nil
-	answer.Rest = newBodyReader(struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(body), response.Body), response.Body})
-	return answer, reusable, nil
-}
-
-// maxIdleFromHeader returns how long a connection may be idle, from the value of
-// its Keep-Alive header.
-func maxIdleFromHeader(header string) time.Duration {
-	for part := range strings.SplitSeq(header, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		seconds, err := strconv.Atoi(value)
-		if strings.EqualFold(name, "timeout") && err == nil {
-			return max(min(time.Duration(seconds)*time.Second-idleMargin, maxIdleAge), 0)
-		}
-	}
-	return maxIdleAge
-}
--- a/internal/transport/http1/pool_test.go
+++ b/internal/transport/http1/pool_test.go
@@ -67,11 +67,22 @@
 func newRequest(attempt string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Attempt": {attempt}},
-		Matches: func(_ int, h http.Header) bool { return h.Get("Attempt") == attempt },
+		Owner: func(_ int, h http.Header) Owner { return ownerOf(attempt, h) },
 	}
 }
 
-func newPool() *Pool { return NewPool(NewDialer(time.Second), clock.System{}) }
+// ownerOf returns whose answer a head belongs to, by its Attempt header.
+func ownerOf(attempt string, h http.Header) Owner {
+	switch h.Get("Attempt") {
+	case attempt:
+		return OwnAnswer
+	case "":
+		return UnnamedAnswer
+	}
+	return ForeignAnswer
+}
+
+func newPool() *Pool { return NewPool(NewDialer(time.Second), DefaultAnswerLimits, clock.System{}) }
 
 func do(t *testing.T, p *Pool, u *testUpstream, r *Request) (*Answer, error) {
 	t.Helper()
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -50,7 +50,7 @@
 
 func newServerConn(s *Server, conn net.Conn) *serverConn {
 	c := &serverConn{server: s, conn: conn, queue: make(chan *exchange, pipelineDepth)}
-	c.limit = &limitReader{in: conn}
+	c.limit = &limitReader{in: conn, err: errHeadTooLarge}
 	c.in = bufio.NewReaderSize(c.limit, 4<<10)
 	c.out = bufio.NewWriterSize(conn, 4<<10)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
--- a/internal/transport/http1/stream.go
+++ b/internal/transport/http1/stream.go
@@ -13,9 +13,10 @@
 // errHeadTooLarge means that a client sent a larger head than allowed.
 var errHeadTooLarge = errors.New("the head of the request is too large")
 
-// limitReader fails with errHeadTooLarge when more bytes are read than allowed.
+// limitReader fails with err when more bytes are read than allowed.
 type limitReader struct {
 	in        io.Reader
+	err       error
 	remaining int64
 }
 
@@ -24,7 +25,7 @@
 
 func (l *limitReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, errHeadTooLarge
+		return 0, l.err
 	}
 	if int64(len(p)) > l.remaining {
 		p = p[:l.remaining]
@@ -42,6 +43,9 @@
 	once     sync.Once
 	complete atomic.Bool
 	onClose  func(complete bool)
+	// onFailure, if set, is called with the first error that makes the body incomplete.
+	onFailure func(error)
+	failed    atomic.Bool
 }
 
 func newBodyReader(in io.ReadCloser) *BodyReader {
@@ -53,6 +57,8 @@
 	n, err := r.in.Read(p)
 	if errors.Is(err, io.EOF) {
 		r.complete.Store(true)
+	} else if err != nil && r.onFailure != nil && !r.failed.Swap(true) {
+		r.onFailure(err)
 	}
 	return n, err
 }
--- a/internal/transport/operator/client.go
+++ b/internal/transport/operator/client.go
@@ -53,7 +53,8 @@
 
 // NewClient returns a client for the host at address.
 func NewClient(address, token string) *Client {
-	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: transport}}
 }
 
 // Get reads the resource at path as an Out.
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -64,6 +64,8 @@
 const (
 	// maxDocumentBytes is the maximum size of a request's or a response's body.
 	maxDocumentBytes = 16 << 20
+	// maxHeaderBytes bounds the head of a host's answer.
+	maxHeaderBytes = 64 << 10
 	// commitTimeout is the timeout of committing a change.
 	commitTimeout = 8 * time.Second
 	// inForceTimeout is the longest wait until a change is in force on all hosts.
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -24,6 +24,9 @@
 // maxAnswerBytes is the largest answer that is read.
 const maxAnswerBytes = 64 << 20
 
+// maxHeaderBytes bounds the head of an answer.
+const maxHeaderBytes = 64 << 10
+
 // maxIdleAge is the age from which an idle connection is not reused.
 const maxIdleAge = 5 * time.Second
 
@@ -41,6 +44,8 @@
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     maxIdleAge,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{base: base, host: host, timeout: timeout, http: &http.Client{Transport: transport}}
 }
--- a/internal/transport/upstream/poll.go
+++ b/internal/transport/upstream/poll.go
@@ -32,7 +32,7 @@
 
 // NewPoller returns a poller of the picker's upstreams.
 func NewPoller(picker *pick.Picker, c clock.Clock) *Poller {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: maxIdleAge}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: maxIdleAge, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Poller{picker: picker, client: &http.Client{Transport: transport, Timeout: pollTimeout}, clock: c}
 }
 
