Confine a panic to the request, message, row or loop in which it occurs

Change: confine.Guard at each boundary, once each; a supervised loop runs again with a growing pause and from all rows; a host whose control loop fails is out of the directory, and ends gracefully if the loop keeps failing.

--- a/cmd/celerypin/cmds/serve.go
+++ b/cmd/celerypin/cmds/serve.go
@@ -141,8 +141,11 @@
 			host.Stop()
 			return nil
 		case <-host.Done():
-			log.With("error", host.Err()).Error("A part of the host failed.")
-			return host.Err()
+			// Clients' requests do not need the part that failed, so they are finished.
+			err := host.Err()
+			log.With("error", err.Error()).Error("A part of the host failed; stopping.")
+			host.Stop()
+			return err
 		case <-time.After(reloadInterval):
 			if next, ok := file.readChanged(); ok {
 				host.Reload(next)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -29,6 +30,7 @@
 	"celerypin.example/celerypin/pkg/coordination/pick"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
 	"celerypin.example/celerypin/pkg/state/table"
@@ -67,6 +69,7 @@
 	log      *logging.Log
 	metrics  metrics.Registry
 	events   *timeline.Buffer
+	guard    *confine.Guard
 
 	runner    *runner
 	mesh      *host.Mesh[agent.Message]
@@ -88,6 +91,7 @@
 // no listener stays open.
 func New(s settings.Serve, c clock.Clock, log *logging.Log) (*Host, error) {
 	h := &Host{settings: s, clock: c, log: log.Part("host"), metrics: metrics.NewRegistry()}
+	h.guard = confine.New(c, h.reportPanic)
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -126,8 +130,8 @@
 	secret := []byte(h.settings.FleetSecret)
 	h.platform = platform.New(h.settings.Platform, identity.Host, platformTimeout)
 	a := agent.New(identity, agent.DefaultTiming(), agent.DemandPolicy, h.record)
-	h.runner = newRunner(a, h.clock, h.platform, platformTimeout, log.Part("agent"))
-	h.mesh = host.New(identity.Host, secret, hostprotocol.Codec{}, h.runner, log.Part("mesh"), h.clock, h.metrics)
+	h.runner = newRunner(a, h.clock, h.platform, platformTimeout, log.Part("agent"), h.guard)
+	h.mesh = host.New(identity.Host, secret, hostprotocol.Codec{}, h.runner, log.Part("mesh"), h.clock, h.guard, h.metrics)
 	h.claims = claim.New(identity.Host, identity.Incarnation, h.platform, h.clock)
 	h.forwarder = upstream.NewForwarder(identity.Host, identity.Incarnation, h.clock)
 	view := a.View()
@@ -163,6 +167,12 @@
 	h.log.With("subject", subject).With("reason", reason).Info("Event " + string(kind) + ".")
 }
 
+// reportPanic logs a confined panic.
+func (h *Host) reportPanic(p confine.Panic) {
+	h.log.With("task", p.Task).With("error", fmt.Sprint(p.Value)).With("stack", string(p.Stack)).With("panics", p.Total).
+		Error("A panic was confined to its task.")
+}
+
 // Start starts serving. It returns an error if the platform does not answer and the
 // settings name no peers.
 func (h *Host) Start(ctx context.Context) error {
@@ -184,14 +194,16 @@
 		h.claims.Run(claimsCtx)
 		return nil
 	})
-	h.tomb.Go(func() error {
-		h.pollUpstreams(background)
-		return nil
-	})
-	h.tomb.Go(func() error {
-		upstream.NewPoller(h.picker, h.clock).Run(background)
-		return nil
-	})
+	for task, loop := range map[confine.Task]func(context.Context){
+		"list of upstreams": h.pollUpstreams, "health of upstreams": upstream.NewPoller(h.picker, h.clock).Run,
+	} {
+		h.tomb.Go(func() error {
+			return h.guard.Supervise(background, task, func() {}, func(ctx context.Context) error {
+				loop(ctx)
+				return nil
+			})
+		})
+	}
 	go serve(h.hostServer, h.hostListener)
 	h.runner.start(h.mesh)
 	for _, p := range h.settings.Peers {
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -11,6 +11,7 @@
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
 	"celerypin.example/celerypin/pkg/state/table"
@@ -36,13 +37,14 @@
 	service table.Service
 	timeout time.Duration
 	log     *logging.Log
+	guard   *confine.Guard
 	tomb    tomb.Tomb
 	mesh    sender
 	calls   sync.WaitGroup
 }
 
-func newRunner(a *agent.Agent, c clock.Clock, service table.Service, timeout time.Duration, log *logging.Log) *runner {
-	return &runner{agent: a, clock: c, service: service, timeout: timeout, log: log}
+func newRunner(a *agent.Agent, c clock.Clock, service table.Service, timeout time.Duration, log *logging.Log, g *confine.Guard) *runner {
+	return &runner{agent: a, clock: c, service: service, timeout: timeout, log: log, guard: g}
 }
 
 // start starts the ticks. The mesh must be able to send messages by then.
@@ -67,17 +69,28 @@
 	return nil
 }
 
-// update calls step with the agent locked, and executes the output that step returns.
+// Tasks to which panics are confined.
+const (
+	taskStep confine.Task = "agent step"
+	taskCall confine.Task = "table call"
+)
+
+// update calls step with the agent locked, and executes the output that step returns. A
+// step that panics has no output; what the agent holds is read anew from the table's rows
+// with the next answer.
 func (r *runner) update(step func(clock.Instant) agent.Output) {
-	r.mu.Lock()
-	out := step(r.clock.Now())
-	r.mu.Unlock()
+	var out agent.Output
+	r.guard.Run(taskStep, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		out = step(r.clock.Now())
+	})
 	for _, s := range out.Messages {
 		r.mesh.Send(s.To, s.Message)
 	}
 	for _, c := range out.Calls {
 		r.calls.Add(1)
-		go r.call(c)
+		r.guard.Go(taskCall, func() { r.call(c) })
 	}
 }
 
--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -134,17 +134,22 @@
 		case <-ticks:
 		}
 		c.step(ctx, c.host.clock.Now())
+		c.host.failing.Store(false)
 	}
 }
 
+// restart prepares the loop for another run after a panic: all rows are applied again.
+func (c *controller) restart() {
+	c.host.failing.Store(true)
+	c.host.copies.requeue()
+}
+
 // step applies the queued input, updates the snapshots, and writes and sends what is
 // due.
 func (c *controller) step(ctx context.Context, now clock.Instant) {
 	c.applyReceived(now)
 	for name, rows := range c.host.copies.take() {
-		for _, row := range rows {
-			c.applyRow(name, row, now)
-		}
+		c.applyRows(name, rows, now)
 	}
 	c.updateHosts(now)
 	c.host.copies.reading.Store(c.reader == c.self.ID && now.Sub(c.started) >= settleDelay)
@@ -181,6 +186,13 @@
 	}
 }
 
+// applyRows applies changed rows of the store.
+func (c *controller) applyRows(name platform.TableName, rows []mirror.Row, now clock.Instant) {
+	for _, row := range rows {
+		c.host.guard.Run(taskRow, func() { c.applyRow(name, row, now) })
+	}
+}
+
 // applyRow applies one changed row of the store.
 func (c *controller) applyRow(name platform.TableName, row mirror.Row, now clock.Instant) {
 	switch name {
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"gopkg.in/tomb.v2"
-
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -101,14 +101,8 @@
 	}
 }
 
-// start begins to read all tables. It calls changed after it has queued changes.
-func (c *copies) start(t *tomb.Tomb, ctx context.Context, changed func()) {
-	for name, table := range c.tables {
-		t.Go(func() error { return c.follow(ctx, name, table, changed) })
-	}
-}
-
-// follow reads a table repeatedly until ctx ends.
+// follow reads a table repeatedly until ctx ends. It calls changed after it has queued
+// changes.
 func (c *copies) follow(ctx context.Context, name platform.TableName, table *tableCopy, changed func()) error {
 	backoff := minBackoff
 	for ctx.Err() == nil {
@@ -212,6 +206,13 @@
 	c.pending[name] = append(c.pending[name], rows...)
 }
 
+// requeue queues all rows, so that they are applied again.
+func (c *copies) requeue() {
+	for name, table := range c.tables {
+		c.add(name, slices.Collect(maps.Values(table.Rows())))
+	}
+}
+
 // take returns the changes queued since the last call.
 func (c *copies) take() map[platform.TableName][]mirror.Row {
 	c.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -102,6 +103,9 @@
 	log      *logging.Log
 	registry metrics.Registry
 	metrics  hostMetrics
+	guard    *confine.Guard
+	// failing is set from a panic of the control loop until the loop completes a step.
+	failing atomic.Bool
 	// leaving is set when Stop begins.
 	leaving atomic.Bool
 
@@ -136,6 +140,7 @@
 	h := &Host{clock: c, log: log.Part("host"), registry: metrics.NewRegistry()}
 	h.settings.Store(&s)
 	h.metrics = newHostMetrics(h.registry)
+	h.guard = confine.New(c, h.reportPanic)
 	self := roster.Member{
 		Host:        fleet.Host{ID: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress, Capacity: roster.EstimateCapacity(s.CPU, s.LinkMbit)},
 		PeerAddress: s.PeerAddress, Incarnation: id.Incarnation(c.Wall().UnixMilli()),
@@ -147,7 +152,7 @@
 	h.placer = place.New(s.Region, s.FailureDomain, s.Bounds.MaxShift, place.DefaultPolicy())
 	h.shares = quota.New(quota.Tolerance{Window: s.Bounds.QuotaWindow, Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack}, now)
 	h.roster = roster.New(self, now)
-	h.pool = http1.NewPool(http1.NewDialer(dialTimeout), http1.DefaultAnswerLimits, c)
+	h.pool = http1.NewPool(http1.NewDialer(dialTimeout), http1.DefaultAnswerLimits, c, h.guard)
 	h.store = platform.NewStore(s.Store, &http.Transport{
 		DialContext: http1.NewDialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -155,14 +160,14 @@
 	h.copies = newCopies(h.store, c, log.Part("store"), min(s.Bounds.ConfigApply, s.Bounds.Drain))
 	h.controller = newController(h, self, log.Part("control"))
 	h.copies.onRead = h.controller.relayToRegion
-	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.registry)
+	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
 		State: h.state, Shares: h.shares, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
 		Sender: &sender{pool: h.pool, clock: c}, Clock: c, Random: steer.SystemRandom{},
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: s.Bounds.RetryExtra * retryReserveFraction / minHosts,
 	})
-	h.clientServer = http1.NewServer(&handler{host: h, log: newRequestLog(log.Part("request"), c)}, h.limits, c)
+	h.clientServer = http1.NewServer(&handler{host: h, log: newRequestLog(log.Part("request"), c)}, h.limits, c, h.guard)
 	return h
 }
 
@@ -210,15 +215,19 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout}
+		server := &http.Server{Handler: h.confined(l.handler), ReadHeaderTimeout: headerTimeout}
 		h.otherServers = append(h.otherServers, server)
 		h.tomb.Go(func() error { return ignoreServerClosed(server.Serve(listener)) })
 	}
 	background := h.tomb.Context(context.Background())
 	h.tomb.Go(func() error { return h.clientServer.Serve(callerListener) })
-	h.tomb.Go(func() error { return h.controller.run(background) })
-	h.copies.start(&h.tomb, background, h.controller.wake)
-	h.tomb.Go(func() error { return h.closeUnusedConnections(background) })
+	h.supervise(background, "control loop", h.controller.restart, h.controller.run)
+	for name, table := range h.copies.tables {
+		h.supervise(background, confine.Task("copy of "+name), func() {}, func(ctx context.Context) error {
+			return h.copies.follow(ctx, name, table, h.controller.wake)
+		})
+	}
+	h.supervise(background, "idle connections", func() {}, h.closeUnusedConnections)
 	h.log.With("host", s.Host).With("failure_domain", s.FailureDomain).With("region", s.Region).Info("Started.")
 	return nil
 }
@@ -257,7 +266,9 @@
 }
 
 // Ready reports whether clients should use this host.
-func (h *Host) Ready() bool { return !h.leaving.Load() && *h.state.Load() != nil }
+func (h *Host) Ready() bool {
+	return !h.leaving.Load() && !h.failing.Load() && *h.state.Load() != nil
+}
 
 // Reload replaces the settings. The changes take effect for the regions of the
 // failure domains and for the bounds Grace, MaxTTL, ColdExcess and ColdSlack. New
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -121,7 +121,7 @@
 		return
 	}
 	go func() {
-		commit()
+		c.host.guard.Run(taskWrite, commit)
 		c.mu.Lock()
 		delete(c.writing, key)
 		c.mu.Unlock()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,7 +20,7 @@
 type hostMetrics struct {
 	delivered, refused, overQuota, failed, denied, clientLeft metrics.Counter
 	attempts, directory                                       metrics.Counter
-	dialed                                                    metrics.Gauge
+	dialed, panics                                            metrics.Gauge
 	latency                                                   metrics.Histogram
 }
 
@@ -34,6 +34,7 @@
 		failed: counter("requests.failed"), denied: counter("requests.denied"), clientLeft: counter("requests.client_left"),
 		attempts: counter("upstreams.attempts"), directory: counter("directory.answers"),
 		dialed:  metrics.NewRegisteredGauge("upstreams.connections_made", r),
+		panics:  metrics.NewRegisteredGauge("host.panics", r),
 		latency: metrics.NewRegisteredHistogram("requests.latency_us", r, metrics.NewUniformSample(latencySample)),
 	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -93,18 +93,23 @@
 	c.received = nil
 	c.mu.Unlock()
 	for _, r := range received {
-		if c.host.roster.ReceiveDigest(*r.digest, now) {
-			if r.digest.Host.ID == c.reader && !r.digest.ReadsFailing {
-				c.host.copies.confirm(r.digest, now)
-			}
-			c.addReleaseCounts(r.digest)
-		}
-		if r.bulletin == nil {
-			continue
-		}
-		for _, d := range c.host.roster.ReceiveBulletin(r.digest.Host.ID, r.bulletin, now) {
-			c.addReleaseCounts(&d)
+		c.host.guard.Run(taskMessage, func() { c.applyDigest(r, now) })
+	}
+}
+
+// applyDigest applies one digest with its bulletin.
+func (c *controller) applyDigest(r receivedDigest, now clock.Instant) {
+	if c.host.roster.ReceiveDigest(*r.digest, now) {
+		if r.digest.Host.ID == c.reader && !r.digest.ReadsFailing {
+			c.host.copies.confirm(r.digest, now)
 		}
+		c.addReleaseCounts(r.digest)
+	}
+	if r.bulletin == nil {
+		return
+	}
+	for _, d := range c.host.roster.ReceiveBulletin(r.digest.Host.ID, r.bulletin, now) {
+		c.addReleaseCounts(&d)
 	}
 }
 
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -22,6 +22,7 @@
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/host"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 	"celerypin.example/celerypin/pkg/state/id"
 )
 
@@ -74,6 +75,7 @@
 	log    *logging.Log
 	client *http.Client
 	clock  clock.Clock
+	guard  *confine.Guard
 	// sentBytes and receivedBytes count encoded messages.
 	sentBytes     metrics.Counter
 	receivedBytes metrics.Counter
@@ -99,11 +101,11 @@
 
 // New returns a mesh without connections.
 func New[M any](
-	self id.Host, secret []byte, codec Codec[M], events Events[M], log *logging.Log, c clock.Clock, registry metrics.Registry,
+	self id.Host, secret []byte, codec Codec[M], events Events[M], log *logging.Log, c clock.Clock, g *confine.Guard, registry metrics.Registry,
 ) *Mesh[M] {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh[M]{
-		self: self, token: fleetToken(secret), codec: codec, events: events, log: log, clock: c,
+		self: self, token: fleetToken(secret), codec: codec, events: events, log: log, clock: c, guard: g,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHandshakeBytes}},
 		ctx:    ctx, cancel: cancel,
 		sentBytes:     metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
@@ -214,7 +216,7 @@
 func (m *Mesh[M]) keepDialing(h id.Host) {
 	defer m.running.Done()
 	for m.ctx.Err() == nil && m.shouldDial(h) {
-		m.dialOnce(h)
+		m.guard.Run(taskConnection, func() { m.dialOnce(h) })
 		// The random part prevents two hosts that dial each other from replacing each
 		// other's connections indefinitely.
 		m.clock.Sleep(m.ctx, minRedialInterval+rand.N(minRedialInterval))
@@ -297,7 +299,7 @@
 	defer m.remove(h, l)
 	var writer sync.WaitGroup
 	writer.Go(func() {
-		m.write(ctx, l)
+		m.guard.Run(taskConnection, func() { m.write(ctx, l) })
 		cancel()
 	})
 	m.receive(ctx, h, l)
@@ -353,15 +355,33 @@
 			return
 		}
 		m.receivedBytes.Inc(int64(len(data)))
-		from, to, message, err := m.codec.Decode(data)
-		if err != nil || from != h || (to != m.self && to != anyHost) {
+		accepted := true
+		// After a panic the next message is read: others may be sound.
+		m.guard.Run(taskMessage, func() { accepted = m.accept(h, data) })
+		if !accepted {
 			m.log.With("host", h).Warn("A malformed or misaddressed message closed the connection.")
 			return
 		}
-		m.events.Received(from, message)
 	}
 }
 
+// accept passes on a message from a host. It reports whether the message is well-formed
+// and addressed to this host.
+func (m *Mesh[M]) accept(h id.Host, data []byte) bool {
+	from, to, message, err := m.codec.Decode(data)
+	if err != nil || from != h || (to != m.self && to != anyHost) {
+		return false
+	}
+	m.events.Received(from, message)
+	return true
+}
+
+// Tasks to which panics are confined.
+const (
+	taskConnection confine.Task = "host connection"
+	taskMessage    confine.Task = "host message"
+)
+
 func readMessage(ctx context.Context, conn *websocket.Conn) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/internal/transport/host/mesh_test.go
+++ b/internal/transport/host/mesh_test.go
@@ -16,6 +16,7 @@
 	"celerypin.example/celerypin/internal/protocol/host"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 	"celerypin.example/celerypin/pkg/state/id"
 )
 
@@ -27,11 +28,17 @@
 	mu       sync.Mutex
 	received int
 	refused  int
+	// panicsLeft is the number of messages on which Received panics.
+	panicsLeft int
 }
 
 func (r *recorder) Received(id.Host, agent.Message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.panicsLeft > 0 {
+		r.panicsLeft--
+		panic("message")
+	}
 	r.received++
 }
 
@@ -51,12 +58,14 @@
 type node struct {
 	mesh   *Mesh[agent.Message]
 	events *recorder
+	guard  *confine.Guard
 	server *httptest.Server
 }
 
 func newNode(t *testing.T, name id.Host, secret string) *node {
 	n := &node{events: &recorder{}}
-	n.mesh = New[agent.Message](name, []byte(secret), host.Codec{}, n.events, logging.Discard(), clock.System{}, metrics.NewRegistry())
+	n.guard = confine.New(clock.System{}, func(confine.Panic) {})
+	n.mesh = New[agent.Message](name, []byte(secret), host.Codec{}, n.events, logging.Discard(), clock.System{}, n.guard, metrics.NewRegistry())
 	n.server = httptest.NewServer(http.HandlerFunc(n.mesh.Accept))
 	t.Cleanup(n.server.Close)
 	t.Cleanup(n.mesh.Close)
@@ -183,3 +192,22 @@
 		}
 	}
 }
+
+// TestPanicOfOneMessageIsConfined lets the receiver panic on its first message. The
+// connection must carry the next one.
+func TestPanicOfOneMessageIsConfined(t *testing.T) {
+	a, b := newNode(t, "a", "secret"), newNode(t, "b", "secret")
+	b.events.panicsLeft = 1
+	a.mesh.SetAddress("b", strings.TrimPrefix(b.server.URL, "http://"))
+	deadline := time.Now().Add(10 * time.Second)
+	for received := 0; received == 0; received, _ = b.events.counts() {
+		if time.Now().After(deadline) {
+			t.Fatal("got no message after the panic, want one")
+		}
+		a.mesh.Send("b", agent.Message{Heartbeat: &agent.Heartbeat{}})
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got, want := b.guard.Total(), int64(1); got != want {
+		t.Errorf("got %d panics, want %d", got, want)
+	}
+}
--- a/internal/transport/http1/answer_test.go
+++ b/internal/transport/http1/answer_test.go
@@ -84,7 +84,7 @@
 func newSmallPool() *Pool {
 	d := NewDialer(time.Second)
 	d.Control = smallReceiveBuffer
-	return NewPool(d, DefaultAnswerLimits, clock.System{})
+	return NewPool(d, DefaultAnswerLimits, clock.System{}, newGuard())
 }
 
 // TestBytesBehindAnswerCloseConnection sends bytes without end behind a complete answer,
@@ -176,7 +176,7 @@
 					}
 				}
 			})
-			p := NewPool(NewDialer(time.Second), streamLimits, clock.System{})
+			p := NewPool(NewDialer(time.Second), streamLimits, clock.System{}, newGuard())
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			r := newRequest("1")
@@ -208,7 +208,7 @@
 	u := newUpstream(t, answerEach(okAnswer("1", strings.Repeat("b", size))))
 	limits := streamLimits
 	limits.StreamGrace = waitTimeout
-	p := NewPool(NewDialer(time.Second), limits, clock.System{})
+	p := NewPool(NewDialer(time.Second), limits, clock.System{}, newGuard())
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	answer, err := p.Do(ctx, "u", u.address(), newRequest("1"))
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 )
 
 // Errors of an exchange with an upstream. Every error of Do matches one of them.
@@ -68,6 +69,7 @@
 	dialer *net.Dialer
 	limits AnswerLimits
 	clock  clock.Clock
+	guard  *confine.Guard
 	mu     sync.Mutex
 	idle   map[string][]*poolConn
 	dialed int64
@@ -87,8 +89,8 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(dialer *net.Dialer, limits AnswerLimits, c clock.Clock) *Pool {
-	return &Pool{dialer: dialer, limits: limits, clock: c, idle: map[string][]*poolConn{}}
+func NewPool(dialer *net.Dialer, limits AnswerLimits, c clock.Clock, g *confine.Guard) *Pool {
+	return &Pool{dialer: dialer, limits: limits, clock: c, guard: g, idle: map[string][]*poolConn{}}
 }
 
 func (p *Pool) newConn(conn net.Conn) *poolConn {
@@ -213,7 +215,11 @@
 		if n, err := c.Write(r.encode(false)); err != nil && n == 0 {
 			return nil, errors.Join(ErrNotSent, err)
 		}
-		go func() { written <- r.writeBody(c) }()
+		go func() {
+			err := errBodyPanicked
+			p.guard.Run(taskBody, func() { err = r.writeBody(c) })
+			written <- err
+		}()
 	}
 	answer, reusable, err := c.read(r, p.limits, p.streamEnd(ctx))
 	if err != nil {
@@ -239,6 +245,9 @@
 	return deadline.Add(p.limits.StreamGrace)
 }
 
+// errBodyPanicked means that the writing of a request's body panicked.
+var errBodyPanicked = errors.New("the writing of the request's body panicked")
+
 // maxInlineBodyBytes is the largest body that is written together with the head.
 const maxInlineBodyBytes = 16 << 10
 
--- a/internal/transport/http1/pool_test.go
+++ b/internal/transport/http1/pool_test.go
@@ -82,7 +82,9 @@
 	return ForeignAnswer
 }
 
-func newPool() *Pool { return NewPool(NewDialer(time.Second), DefaultAnswerLimits, clock.System{}) }
+func newPool() *Pool {
+	return NewPool(NewDialer(time.Second), DefaultAnswerLimits, clock.System{}, newGuard())
+}
 
 func do(t *testing.T, p *Pool, u *testUpstream, r *Request) (*Answer, error) {
 	t.Helper()
--- a/internal/transport/http1/server.go
+++ b/internal/transport/http1/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 )
 
 // Call is one request of a client.
@@ -82,6 +83,7 @@
 	handler  Handler
 	limits   func() Limits
 	clock    clock.Clock
+	guard    *confine.Guard
 	draining atomic.Bool
 	stopping atomic.Bool
 
@@ -89,10 +91,18 @@
 	conns map[*serverConn]struct{}
 }
 
+// Tasks to which panics are confined.
+const (
+	taskConnection confine.Task = "client connection"
+	taskRequest    confine.Task = "request"
+	taskAnswer     confine.Task = "answer"
+	taskBody       confine.Task = "request body"
+)
+
 // NewServer returns a server that passes calls to handler. It calls limits for each
 // request.
-func NewServer(handler Handler, limits func() Limits, c clock.Clock) *Server {
-	return &Server{handler: handler, limits: limits, clock: c, conns: map[*serverConn]struct{}{}}
+func NewServer(handler Handler, limits func() Limits, c clock.Clock, g *confine.Guard) *Server {
+	return &Server{handler: handler, limits: limits, clock: c, guard: g, conns: map[*serverConn]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -120,7 +130,8 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	go func() {
-		c.run()
+		s.guard.Run(taskConnection, c.run)
+		_ = conn.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/internal/transport/http1/server_test.go
+++ b/internal/transport/http1/server_test.go
@@ -15,6 +15,7 @@
 
 	"celerypin.example/celerypin/internal/golden"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/confine"
 )
 
 // waitTimeout bounds the wait for an expected event; it is no performance target.
@@ -22,6 +23,9 @@
 
 var testLimits = Limits{HeaderBytes: 4 << 10, MaxBodyBytes: 2 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 
+// newGuard returns a guard that reports nothing.
+func newGuard() *confine.Guard { return confine.New(clock.System{}, func(confine.Panic) {}) }
+
 // handlerFunc adapts a function to Handler.
 type handlerFunc func(ctx context.Context, c *Call) Reply
 
@@ -43,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(h, func() Limits { return testLimits }, clock.System{})
+	s := NewServer(h, func() Limits { return testLimits }, clock.System{}, newGuard())
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -65,6 +69,62 @@
 	return conn
 }
 
+// TestPanicOfOneRequestIsConfined panics in the handling of one of three pipelined
+// requests. It must get an answer that promises nothing, and the others their own.
+func TestPanicOfOneRequestIsConfined(t *testing.T) {
+	s := startServer(t, func(_ context.Context, c *Call) Reply {
+		if c.Request.URL.Path == "/2" {
+			var missing map[string]int
+			missing["a"] = 1
+		}
+		return textReply(c.Request.URL.Path)
+	})
+	conn := s.dial(t)
+	_, _ = io.WriteString(conn, get("/1")+get("/2")+get("/3"))
+	in := bufio.NewReader(conn)
+	for _, want := range []struct {
+		status int
+		body   string
+	}{{http.StatusOK, "/1"}, {http.StatusBadGateway, ""}, {http.StatusOK, "/3"}} {
+		response, body := readAnswer(t, in)
+		if response.StatusCode != want.status || body != want.body {
+			t.Errorf("got %d %q, want %d %q", response.StatusCode, body, want.status, want.body)
+		}
+	}
+	if got, want := s.guard.Total(), int64(1); got != want {
+		t.Errorf("got %d panics counted, want %d", got, want)
+	}
+}
+
+// panickingReader panics when it is read.
+type panickingReader struct{}
+
+func (panickingReader) Read([]byte) (int, error) { panic("read") }
+func (panickingReader) Close() error             { return nil }
+
+// TestPanicWhileAnswerIsWritten panics in the middle of a streamed answer. The client
+// must not take the answer for complete, and the server must serve others.
+func TestPanicWhileAnswerIsWritten(t *testing.T) {
+	s := startServer(t, func(_ context.Context, c *Call) Reply {
+		if c.Request.URL.Path == "/sound" {
+			return textReply("sound")
+		}
+		return Reply{Status: http.StatusOK, Header: http.Header{}, Rest: newBodyReader(panickingReader{}), Length: 100}
+	})
+	conn := s.dial(t)
+	_, _ = io.WriteString(conn, get("/torn"))
+	if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+		if body, err := io.ReadAll(response.Body); err == nil {
+			t.Errorf("got a complete body %q, want an error", body)
+		}
+	}
+	second := s.dial(t)
+	_, _ = io.WriteString(second, get("/sound"))
+	if _, body := readAnswer(t, bufio.NewReader(second)); body != "sound" {
+		t.Errorf("got %q, want %q", body, "sound")
+	}
+}
+
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
 
 // readAnswer reads an answer with its body.
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -65,7 +65,8 @@
 func (c *serverConn) run() {
 	var writer sync.WaitGroup
 	writer.Go(c.writeAnswers)
-	c.readRequests()
+	// After a panic no further request is read; the earlier ones are still answered.
+	c.server.guard.Run(taskConnection, c.readRequests)
 	close(c.queue)
 	writer.Wait()
 	if c.ctx.Err() == nil {
@@ -265,13 +266,19 @@
 func (c *serverConn) dispatch(x *exchange) {
 	c.queue <- x
 	go func() {
-		x.reply <- c.server.handler.Handle(c.ctx, x.call)
+		reply := panicReply
+		c.server.guard.Run(taskRequest, func() { reply = c.server.handler.Handle(c.ctx, x.call) })
+		x.reply <- reply
 		if x.call.Rest != nil {
 			x.call.Rest.Close()
 		}
 	}()
 }
 
+// panicReply answers a request whose handling panicked. Its status does not promise that
+// the request has not run.
+var panicReply = Reply{Status: http.StatusBadGateway, Header: http.Header{}}
+
 // reject queues an empty answer as the last one of the connection.
 func (c *serverConn) reject(x *exchange, status int) *exchange {
 	x.last = true
@@ -302,7 +309,11 @@
 	failed := false
 	for x := range c.queue {
 		reply := <-x.reply
-		if !failed && !c.writeAnswer(x, reply) {
+		written := false
+		if !failed {
+			c.server.guard.Run(taskAnswer, func() { written = c.writeAnswer(x, reply) })
+		}
+		if !failed && !written {
 			failed = true
 			c.cancel(ErrClientDisconnected)
 			_ = c.conn.Close()
