Pool the tokens of quotas at the hub of a region

Cause: each account's quota was cut into 195 shares of 0.16 requests/s in the median with a burst of one; an account's tokens lay where its next request did not come, and Retry-After sent it to another such share.

Change: a host deposits the tokens that it does not need with the hub it follows; a request that finds none in its host's share draws one from there, waiting at most 120 ms, and is refused by the hub's word with the hub's estimate of when. Tokens are moved, never created: a host debits its share before it deposits, a pool itself before it grants, and a pool without deposits for 2 s grants nothing. The quota's bound therefore holds whichever hosts hold pools at a time; what a lost holder has is lost. No call to the store. A host asks only hubs that state that they hold a pool, so builds without pools can be neighbours.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -119,6 +119,8 @@
 	recorder   *release.Recorder
 	placer     *place.Placer
 	shares     *quota.Shares
+	tokenPool  *quota.Pool
+	drawer     *quota.Drawer
 	roster     *roster.Roster
 	steerer    *steer.Steerer[*http1.Answer]
 	pool       *http1.Pool
@@ -150,7 +152,10 @@
 	h.splits = release.NewSplits()
 	h.recorder = release.NewRecorder(h.splits)
 	h.placer = place.New(s.Region, s.FailureDomain, s.Bounds.MaxShift, place.DefaultPolicy())
-	h.shares = quota.New(quota.Tolerance{Window: s.Bounds.QuotaWindow, Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack}, now)
+	tolerance := quota.Tolerance{Window: s.Bounds.QuotaWindow, Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack}
+	h.shares = quota.New(tolerance, now)
+	h.tokenPool = quota.NewPool(tolerance)
+	h.drawer = quota.NewDrawer(s.Host, h.tokenPool, c, h.sendAsk)
 	h.roster = roster.New(self, now)
 	h.pool = http1.NewPool(http1.NewDialer(dialTimeout), http1.DefaultAnswerLimits, c, h.guard)
 	h.store = platform.NewStore(s.Store, &http.Transport{
@@ -162,7 +167,7 @@
 	h.copies.onRead = h.controller.relayToRegion
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
-		State: h.state, Shares: h.shares, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
+		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
 		Sender: &sender{pool: h.pool, clock: c}, Clock: c, Random: steer.SystemRandom{},
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: s.Bounds.RetryExtra * retryReserveFraction / minHosts,
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -34,6 +34,10 @@
 		c.relay(from, m.Digest)
 		return
 	}
+	if m.Tokens != nil {
+		c.receiveTokens(from, m.Tokens)
+		return
+	}
 	if m.Rows != nil && c.host.copies.applyRelayed(platform.TableName(m.Rows.Table), m.Rows.Changes) {
 		c.log.With("from", from).With("table", m.Rows.Table).With("rows", len(m.Rows.Rows)).
 			With("version", m.Rows.Version).Debug("Received rows from another host.")
@@ -132,6 +136,7 @@
 	// A host without a desired state also reports that it is leaving, so that no
 	// client is sent to it.
 	digest := roster.Digest{
+		HoldsPool:   true,
 		Incarnation: c.self.Incarnation, Sequence: c.sequence, Host: c.self.Host, Leaving: !c.host.Ready(),
 		Versions: complete, LastChange: changed, CopyAges: c.host.copies.ages(now), ReadsFailing: c.host.copies.failing(), Quota: c.quotaReport, RequestRate: c.host.shares.RequestRate(),
 		ReleaseCounts: counts, BadReleases: c.rollouts.Bad(),
@@ -151,4 +156,5 @@
 	for _, m := range messages {
 		c.host.mesh.Broadcast(m.To, gossip.Message{Digest: m.Digest, Bulletin: m.Bulletin})
 	}
+	c.deposit(accounts, now)
 }
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -30,12 +30,13 @@
 	mirror.Changes
 }
 
-// Message is what one host sends another: rows, or a digest, which a hub sends with a
-// bulletin.
+// Message is what one host sends another: rows, tokens, or a digest, which a hub sends
+// with a bulletin.
 type Message struct {
 	Digest   *roster.Digest
 	Bulletin *roster.Bulletin
 	Rows     *Rows
+	Tokens   *Tokens
 }
 
 type envelope struct {
@@ -45,6 +46,7 @@
 	// Bulletin is what a hub reports about other hosts.
 	Bulletin *bulletin `cbor:"bulletin,omitempty"`
 	Rows     *rows     `cbor:"rows,omitempty"`
+	Tokens   *tokens   `cbor:"tokens,omitempty"`
 }
 
 type digest struct {
@@ -56,6 +58,7 @@
 	Capacity      unit.PerSecond            `cbor:"capacity,omitempty"`
 	Leaving       bool                      `cbor:"leaving,omitempty"`
 	Follows       bool                      `cbor:"follows,omitempty"`
+	HoldsPool     bool                      `cbor:"pool,omitempty"`
 	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
 	LastChange    map[string]mirror.Version `cbor:"changed,omitempty"`
 	CopyAges      map[string]uint32         `cbor:"ages_ms,omitempty"`
@@ -128,6 +131,9 @@
 			e.Rows.Rows = append(e.Rows.Rows, row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 		}
 	}
+	if m.Tokens != nil {
+		e.Tokens = tokensToWire(m.Tokens)
+	}
 	return envelopeCodec.Encode(e)
 }
 
@@ -149,6 +155,9 @@
 			m.Rows.Rows = append(m.Rows.Rows, mirror.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 		}
 	}
+	if e.Tokens != nil {
+		m.Tokens = tokensFromWire(e.Tokens)
+	}
 	if m == (Message{}) {
 		return e.From, e.To, m, fmt.Errorf("message of host %q: %w", e.From, ErrEmpty)
 	}
@@ -158,7 +167,7 @@
 func digestToWire(d *roster.Digest) *digest {
 	out := &digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
-		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float32(d.RequestRate),
+		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float32(d.RequestRate),
 		CopyAges: map[string]uint32{},
 	}
 	for table, age := range d.CopyAges {
@@ -227,7 +236,7 @@
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address, Capacity: d.Capacity},
-		Leaving: d.Leaving, Follows: d.Follows, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float64(d.RequestRate),
+		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float64(d.RequestRate),
 		CopyAges:      map[string]time.Duration{},
 		Quota:         quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		ReleaseCounts: outcomesFromWire(d.Outcomes), BadReleases: releasesFromWire(d.BadReleases),
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -28,7 +28,7 @@
 	outcomes := map[release.RouteRelease]release.Counts{subject: {Requests: 9, Failed: 1, Slow: 2}}
 	digest := &roster.Digest{
 		Incarnation: 7, Sequence: 12, Host: fleet.Host{ID: "host-a", Region: "west", FailureDomain: "west-a", Address: "10.0.0.1:80", Capacity: 500},
-		Follows: true, Versions: map[string]mirror.Version{"op": 9}, LastChange: map[string]mirror.Version{"op": 4}, CopyAges: map[string]time.Duration{"op": 40 * time.Millisecond},
+		Follows: true, HoldsPool: true, Versions: map[string]mirror.Version{"op": 9}, LastChange: map[string]mirror.Version{"op": 4}, CopyAges: map[string]time.Duration{"op": 40 * time.Millisecond},
 		Quota:       quota.Report{Demand: map[id.Account]float64{"choir": 2.5}, Part: map[id.Account]float64{"choir": 0.25}},
 		RequestRate: 31, ReleaseCounts: outcomes, BadReleases: []release.ID{{Service: "desk", Release: "v2"}},
 	}
@@ -57,6 +57,10 @@
 		{"digest", Message{Digest: digest}},
 		{"bulletin", Message{Digest: hubDigest, Bulletin: bulletin}},
 		{"rows", Message{Rows: rows}},
+		{"tokens", Message{Tokens: &Tokens{
+			Deposits: quota.Deposits{"choir": 250_000}, Asks: []quota.Ask{{Account: "choir", Requests: 2}},
+			Grants: []quota.Grant{{Account: "choir", Requests: 1, RetryAfter: 200 * time.Millisecond, Interval: 100 * time.Millisecond}},
+		}}},
 	}
 }
 
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -83,6 +83,9 @@
 	part float64
 	// applied is the share last set in the bucket.
 	applied budget.Share[unit.Tokens]
+	// surplus holds the tokens above the last lowered burst until the next deposit; only
+	// the goroutine of Rebalance uses it.
+	surplus unit.Tokens
 }
 
 // New returns shares without any account.
@@ -175,7 +178,7 @@
 		sh.measureDemand(elapsed)
 		sh.limited.Store(a.Rate > 0)
 		if a.Rate > 0 {
-			sh.apply(s.computeShare(a, sh, &peers), now)
+			sh.apply(s.computeShare(a, sh, &peers), peers.Pooled, now)
 		}
 	}
 }
@@ -250,14 +253,52 @@
 	}
 	sh.part = target
 	burst := a.Burst*target + s.tolerance.extra(a)*peers.EvenPart
+	if peers.Pooled {
+		return budget.Share[unit.Tokens]{Rate: tokens(a.Rate * target), Burst: tokens((1 - poolBurstPart) * burst)}
+	}
 	return budget.Share[unit.Tokens]{Rate: tokens(a.Rate * target), Burst: tokens(max(burst, 1))}
 }
 
-// apply sets the share of the bucket unless it is nearly equal to the one applied.
-func (sh *share) apply(next budget.Share[unit.Tokens], now clock.Instant) {
+// TakeSurplus takes the tokens that this host does not need before the next deposit, to be
+// deposited with the holder of its region's pool. What the host's requests need in that
+// interval stays if it is a request or more.
+func (s *Shares) TakeSurplus(interval time.Duration, now clock.Instant) Deposits {
+	out := Deposits{}
+	for account, sh := range *s.accounts.Load() {
+		if !sh.limited.Load() {
+			continue
+		}
+		kept := tokens(keptIntervals * interval.Seconds() * math.Float64frombits(sh.demand.Load()))
+		if kept < unit.Token {
+			kept = 0
+		}
+		surplus := sh.bucket.OwnLevel(now) - kept
+		if surplus+sh.surplus < minDeposit || (surplus > 0 && !sh.bucket.Spend(surplus, now)) {
+			continue
+		}
+		out[account] = max(surplus, 0) + sh.surplus
+		sh.surplus = 0
+	}
+	return out
+}
+
+const (
+	// keptIntervals is the number of intervals between deposits for which a host keeps
+	// tokens.
+	keptIntervals = 1.5
+	// minDeposit is the smallest deposit; smaller surpluses accumulate.
+	minDeposit = unit.Token / 20
+)
+
+// apply sets the share of the bucket unless it is nearly equal to the one applied. If the
+// tokens are pooled, those that a lowered burst cuts off are kept for the next deposit.
+func (sh *share) apply(next budget.Share[unit.Tokens], pooled bool, now clock.Instant) {
 	if nearlyEqual(next.Rate, sh.applied.Rate) && nearlyEqual(next.Burst, sh.applied.Burst) {
 		return
 	}
+	if excess := sh.bucket.OwnLevel(now) - next.Burst; pooled && excess > 0 && sh.bucket.Spend(excess, now) {
+		sh.surplus += excess
+	}
 	sh.applied = next
 	sh.bucket.SetShare(next, now)
 }
--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -36,13 +37,84 @@
 	// holds the reports of all steps.
 	lag     int
 	history [][]*Report
+	// holder returns the host whose pool a host uses, or -1 for none; nil without pools.
+	holder func(host int) int
+	// pools holds the pool of each host, if there are pools.
+	pools []*Pool
+	// returnDelays holds the delays of the refused requests.
+	returnDelays []time.Duration
+	rng          *rand.Rand
+	// idle is the number of hosts, the last ones, that requests normally do not reach.
+	idle int
+}
+
+// weight returns the weight of a host in what is divided evenly.
+func (g *hostGroup) weight(host int) float64 {
+	if host >= len(g.hosts)-g.idle {
+		return 0.01
+	}
+	return 1
+}
+
+// evenPart returns a host's part of what is divided evenly between all hosts.
+func (g *hostGroup) evenPart(host int) float64 {
+	return g.weight(host) / (float64(len(g.hosts)-g.idle) + 0.01*float64(g.idle))
+}
+
+// random returns a number from 0 to 1 of a fixed sequence.
+func (g *hostGroup) random() float64 { return g.rng.Float64() }
+
+// usePools makes the hosts deposit with the holders that holder returns, and draw from
+// them.
+func (g *hostGroup) usePools(holder func(host int) int) {
+	g.holder = holder
+	for range g.hosts {
+		g.pools = append(g.pools, NewPool(tolerance))
+	}
+}
+
+// take admits a request at a host, from its share or from its holder's pool.
+func (g *hostGroup) take(host int) bool {
+	ok, delay := g.hosts[host].Take(account, g.clock.Now())
+	if !ok && g.pools != nil && g.holder(host) >= 0 {
+		grant := g.pools[g.holder(host)].Draw(Ask{Account: account, Requests: 1}, g.clock.Now())
+		ok, delay = grant.Requests > 0, grant.RetryAfter
+	}
+	if !ok {
+		g.returnDelays = append(g.returnDelays, delay)
+	}
+	return ok
+}
+
+// depositAll makes each host deposit with its holder, once the holders know the parts of
+// the hosts that do.
+func (g *hostGroup) depositAll() {
+	for i, p := range g.pools {
+		parts := PoolParts{Used: map[id.Account]float64{}}
+		for j := range g.hosts {
+			if g.holder(j) == i && g.reports[j] != nil {
+				parts.Even += g.evenPart(j)
+				parts.Used[account] += g.reports[j].Part[account]
+			}
+		}
+		if parts.Even == 0 {
+			p.Clear()
+			continue
+		}
+		p.SetParts(g.accounts, parts)
+	}
+	for i, h := range g.hosts {
+		if g.holder(i) >= 0 {
+			g.pools[g.holder(i)].Deposit(h.TakeSurplus(step, g.clock.Now()), g.clock.Now())
+		}
+	}
 }
 
 // step is the interval at which the hosts rebalance their shares.
 const step = 250 * time.Millisecond
 
 func newHostGroup(hosts int, rate, burst float64) *hostGroup {
-	g := &hostGroup{clock: clock.NewFake(), accounts: []*desired.Account{{ID: account, Rate: rate, Burst: burst}}}
+	g := &hostGroup{rng: rand.New(rand.NewPCG(1, 2)), clock: clock.NewFake(), accounts: []*desired.Account{{ID: account, Rate: rate, Burst: burst}}}
 	for range hosts {
 		g.hosts = append(g.hosts, New(tolerance, g.clock.Now()))
 		g.reports = append(g.reports, nil)
@@ -61,10 +133,10 @@
 		if g.elapsed%step == 0 {
 			g.rebalance()
 		}
-		for i, h := range g.hosts {
+		for i := range g.hosts {
 			for due[i] += perSecond[i] * tick.Seconds(); due[i] >= 1; due[i]-- {
 				g.requests++
-				if ok, _ := h.Take(account, g.clock.Now()); ok {
+				if g.take(i) {
 					g.admitted = append(g.admitted, g.elapsed)
 				}
 			}
@@ -76,7 +148,7 @@
 // rebalance makes each host rebalance its shares and then send its report.
 func (g *hostGroup) rebalance() {
 	for i, h := range g.hosts {
-		others, even := NewTotals(), 1/float64(len(g.hosts))
+		others, even := NewTotals(), g.evenPart(i)
 		for j := range g.hosts {
 			if j == i {
 				continue
@@ -87,20 +159,25 @@
 			}
 			switch last := g.received[i][j]; {
 			case last == nil:
-				others.Unreported += even
+				others.Unreported += g.evenPart(j)
 			case inContact:
-				others.AddLive(*last, 1)
+				others.AddLive(*last, g.weight(j))
 			default:
-				others.AddSilent(g.accounts, *last, even)
+				others.AddSilent(g.accounts, *last, g.evenPart(j))
 			}
 		}
-		h.Rebalance(g.accounts, NewPeers(others, 1, even), g.clock.Now())
+		peers := NewPeers(others, g.weight(i), even)
+		peers.Pooled = g.pools != nil && g.holder(i) >= 0
+		h.Rebalance(g.accounts, peers, g.clock.Now())
 	}
 	for i, h := range g.hosts {
 		report := h.NextReport()
 		g.reports[i] = &report
 	}
 	g.history = append(g.history, slices.Clone(g.reports))
+	if g.pools != nil {
+		g.depositAll()
+	}
 }
 
 // receivedReport returns the last report that receiver has from sender: the latest,
--- a/pkg/coordination/quota/totals.go
+++ b/pkg/coordination/quota/totals.go
@@ -104,6 +104,8 @@
 	// EvenPart is the host's part of what is divided evenly between all hosts,
 	// EvenPartLive of what is divided evenly between the live hosts.
 	EvenPart, EvenPartLive float64
+	// Pooled reports whether the host can deposit tokens in a pool and draw from it.
+	Pooled bool
 	Totals
 }
 
--- a/pkg/coordination/roster/messages.go
+++ b/pkg/coordination/roster/messages.go
@@ -15,6 +15,8 @@
 	meshMessageInterval = 250 * time.Millisecond
 	// hubMessageInterval is the interval between the messages of a host when there are hubs.
 	hubMessageInterval = 400 * time.Millisecond
+	// DepositInterval is the interval at which hosts deposit tokens with their hub.
+	DepositInterval = hubMessageInterval
 	// roundsPerRemoteRound is the number of rounds of messages in a full mesh of which one
 	// goes to the hosts of other regions, too.
 	roundsPerRemoteRound = 2
@@ -259,8 +261,8 @@
 		RequestRate: n.RequestRate, ReleaseCounts: n.ReleaseCounts, BadReleases: n.BadReleases,
 	}
 	if known {
-		// Notices carry no quota reports; the last that the host sent directly stays in use.
-		d.Quota = old.digest.Quota
+		// Notices carry no quota reports; what the host last sent directly stays in use.
+		d.Quota, d.HoldsPool = old.digest.Quota, old.digest.HoldsPool
 	}
 	r.states[m.ID] = &hostState{digest: d, reportedAt: reportedAt, confirmedAt: now}
 	return d, true
--- a/pkg/coordination/roster/quotas.go
+++ b/pkg/coordination/roster/quotas.go
@@ -22,6 +22,8 @@
 	// idleWeight is the weight of a host that is not strong: Nearby does not return it
 	// while the strong hosts of its failure domain are live. Strong hosts have the weight 1.
 	idleWeight = 0.1
+	// pooledIdleWeight is its weight where it can draw tokens from a pool.
+	pooledIdleWeight = 0.01
 	// staleHostAge is the age of a host's last report above which the others stop
 	// increasing their parts of quotas, because they might grow into that host's part.
 	staleHostAge = 1500 * time.Millisecond
@@ -46,6 +48,7 @@
 		others = r.sumReports(r.allHosts(now)[1:], weights, totalWeight, accounts, now)
 		return quota.NewPeers(others, ownWeight, ownWeight/totalWeight)
 	}
+	pooled := r.poolHolder(now) != ""
 	for region, hosts := range r.byRegion() {
 		t, known := r.hubs.totals[region]
 		switch {
@@ -65,7 +68,57 @@
 			others.Add(t.AsSilent())
 		}
 	}
-	return quota.NewPeers(others, ownWeight, ownWeight/totalWeight)
+	peers := quota.NewPeers(others, ownWeight, ownWeight/totalWeight)
+	peers.Pooled = pooled
+	return peers
+}
+
+// PoolHolder returns the host that holds the pool of this region's tokens: the hub that
+// this host follows. It returns none in a full mesh, and while the hub is silent.
+func (r *Roster) PoolHolder(now clock.Instant) id.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.poolHolder(now)
+}
+
+// poolHolder is PoolHolder for callers that hold the mutex.
+func (r *Roster) poolHolder(now clock.Instant) id.Host {
+	hub := r.hubs.hub
+	if r.meshed() {
+		return ""
+	}
+	if hub == r.self.ID {
+		return hub
+	}
+	if h, known := r.states[hub]; !known || !h.digest.HoldsPool || now.Sub(r.hubs.lastContact[hub]) > hubTimeout {
+		return ""
+	}
+	return hub
+}
+
+// PoolParts returns the parts of quotas of the hosts that deposit with this one, this one
+// included, given its own last report. It returns false if this host holds no pool.
+func (r *Roster) PoolParts(own quota.Report, now clock.Instant) (quota.PoolParts, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.meshed() || !r.hubs.isHub(r.self.ID, now) {
+		return quota.PoolParts{}, false
+	}
+	weights, totalWeight := r.weights(now)
+	parts := quota.PoolParts{Used: map[id.Account]float64{}}
+	add := func(host id.Host, report quota.Report) {
+		parts.Even += weights[host] / totalWeight
+		for account, part := range report.Part {
+			parts.Used[account] += part
+		}
+	}
+	add(r.self.ID, own)
+	for _, host := range recent(r.hubs.followers, followerTimeout, now) {
+		if h, known := r.states[host]; known && host != r.self.ID {
+			add(host, h.digest.Quota)
+		}
+	}
+	return parts, true
 }
 
 // sumRegion returns the totals of this host's region, this host included.
@@ -118,8 +171,12 @@
 	strong := strongHostSet(members)
 	out := map[id.Host]float64{}
 	total := 0.0
+	idle := idleWeight
+	if !r.meshed() {
+		idle = pooledIdleWeight
+	}
 	for _, m := range members {
-		out[m.ID] = idleWeight
+		out[m.ID] = idle
 		if strong[m.ID] {
 			out[m.ID] = 1
 		}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -42,6 +42,8 @@
 	CopyAges map[string]time.Duration
 	// ReadsFailing reports whether the host's reads of the store fail.
 	ReadsFailing bool
+	// HoldsPool reports whether the host holds a pool of tokens while it is a hub.
+	HoldsPool bool
 	// Quota is the host's report on the quotas of the accounts.
 	Quota quota.Report
 	// RequestRate is the rate of requests that reach the host, per second.
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -179,8 +179,12 @@
 
 // Dependencies are the components that a Steerer uses.
 type Dependencies[A any] struct {
-	State    *rcu.Cell[*desired.State]
-	Shares   *quota.Shares
+	State  *rcu.Cell[*desired.State]
+	Shares *quota.Shares
+	// Draw takes a token from other hosts for a request that Shares refuses, and may wait
+	// for it. Without one, it returns how long the client should wait, or 0 to leave the
+	// delay to Shares.
+	Draw     func(ctx context.Context, account id.Account) (ok bool, delay time.Duration)
 	Placer   *place.Placer
 	Splits   *release.Splits
 	Recorder *release.Recorder
@@ -228,8 +232,17 @@
 // notReadyRetryDelay is the retry delay while a starting host has no desired state.
 const notReadyRetryDelay = 300 * time.Millisecond
 
+// NoPool is the Draw of a host that draws no tokens from others.
+func NoPool(context.Context, id.Account) (bool, time.Duration) { return false, 0 }
+
 // Serve decides on one request and sends it to upstreams as decided.
 func (s *Steerer[A]) Serve(ctx context.Context, r *Request) Decision[A] {
+	return s.serve(ctx, r, false)
+}
+
+// serve is Serve for a request that was admitted under an earlier desired state if
+// admitted is set.
+func (s *Steerer[A]) serve(ctx context.Context, r *Request, admitted bool) Decision[A] {
 	state := *s.State.Load()
 	if state == nil {
 		return Decision[A]{Outcome: Refused, Reason: ReasonNoState, RetryAfter: s.jitter(notReadyRetryDelay)}
@@ -248,17 +261,37 @@
 	}
 	if account != nil {
 		decision.Account = account.ID
-		if ok, delay := s.Shares.Take(account.ID, s.Clock.Now()); !ok {
+	}
+	if account != nil && !admitted {
+		if ok, delay := s.admit(ctx, account.ID); !ok {
 			decision.Outcome, decision.Reason, decision.RetryAfter = OverQuota, ReasonQuota, s.jitter(delay)
 			decision.ShareRate, decision.ShareBurst = s.Shares.Share(account.ID)
 			return decision
 		}
+		if *s.State.Load() != state {
+			// The key or the route may have been withdrawn during the wait.
+			return s.serve(ctx, r, true)
+		}
 	}
 	d := &dispatch[A]{Steerer: s, request: r, route: route, account: account, decision: decision}
 	d.deadline = r.Arrived.Add(timeoutOf(route, r))
 	return d.execute(ctx)
 }
 
+// admit takes a token for a request of an account from this host's share or from other
+// hosts, or returns how long the client should wait.
+func (s *Steerer[A]) admit(ctx context.Context, account id.Account) (ok bool, delay time.Duration) {
+	ok, delay = s.Shares.Take(account, s.Clock.Now())
+	if ok {
+		return true, 0
+	}
+	drawn, poolDelay := s.Draw(ctx, account)
+	if drawn || poolDelay == 0 {
+		return drawn, delay
+	}
+	return false, poolDelay
+}
+
 // timeoutOf returns how long the request may take, counted from its arrival: as long
 // as the client waits, but not longer than the route's timeout.
 func timeoutOf(route *desired.Route, r *Request) time.Duration {
