Send idle followers a bulletin in one round of three; fuzz the decoders

Change: idle followers get the bulletin in each third round and the hub's digest in the others, except while the hub is new or a release is evaluated.

--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -128,3 +128,23 @@
 	}
 	t.Logf("a bulletin of %d hosts and %d accounts has %d bytes", hosts, accounts, len(data))
 }
+
+// FuzzDecode decodes arbitrary bytes. A message that is accepted must be encodable again.
+func FuzzDecode(f *testing.F) {
+	for _, e := range examples() {
+		data, err := Codec{}.Encode("host-a", "host-b", e.message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		from, to, m, err := Codec{}.Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := (Codec{}).Encode(from, to, m); err != nil {
+			t.Errorf("got error %v on encoding %+v, want none", err, m)
+		}
+	})
+}
--- a/pkg/coordination/roster/hub_test.go
+++ b/pkg/coordination/roster/hub_test.go
@@ -23,6 +23,8 @@
 	cut func(a, b *clusterHost) bool
 	// messages counts the messages sent, one for each receiver.
 	messages int
+	// bulletins counts the bulletins to hosts that clients use, true, and to idle ones.
+	bulletins map[bool]int
 }
 
 type clusterHost struct {
@@ -50,7 +52,7 @@
 // newCluster returns a cluster of regions with two failure domains each, which have
 // perDomain hosts; the first two hosts of each failure domain are strong.
 func newCluster(regions, perDomain int) *cluster {
-	c := &cluster{clock: clock.NewFake(), byID: map[id.Host]*clusterHost{}, cut: func(a, b *clusterHost) bool { return false }}
+	c := &cluster{clock: clock.NewFake(), byID: map[id.Host]*clusterHost{}, bulletins: map[bool]int{}, cut: func(a, b *clusterHost) bool { return false }}
 	var members []Member
 	for r := range regions {
 		for d := range 2 {
@@ -88,6 +90,15 @@
 	}
 }
 
+// requestRate returns the rate of requests that a host reports: clients use the strong
+// hosts, the others are idle.
+func (c *cluster) requestRate(h *clusterHost) float64 {
+	if h.Capacity < strongCapacity {
+		return 0
+	}
+	return clusterDemand
+}
+
 // step handles the messages that a host received and sends its own if they are due.
 func (c *cluster) step(h *clusterHost) {
 	now := c.clock.Now()
@@ -105,13 +116,16 @@
 	h.sentAt = now
 	h.sequence++
 	own := Digest{
-		Incarnation: 1, Sequence: h.sequence, Host: h.Host, ReadsFailing: h.readsFailing, RequestRate: clusterDemand,
+		Incarnation: 1, Sequence: h.sequence, Host: h.Host, ReadsFailing: h.readsFailing, RequestRate: c.requestRate(h),
 		Quota: quota.Report{Demand: map[id.Account]float64{"choir": clusterDemand}, Part: map[id.Account]float64{"choir": h.part}},
 	}
 	messages, _ := h.roster.NextMessages(own, clusterAccounts, now)
 	for _, m := range messages {
 		for _, to := range m.To {
 			c.messages++
+			if m.Bulletin != nil && c.byID[to].Region == h.Region {
+				c.bulletins[c.requestRate(c.byID[to]) > 0]++
+			}
 			if other := c.byID[to]; !other.stopped && !c.cut(h, other) {
 				other.inbox = append(other.inbox, m)
 			}
@@ -315,3 +329,20 @@
 		t.Errorf("got %d pairs of hosts of which one does not see the other, want none", got)
 	}
 }
+
+// TestIdleFollowersGetFewerBulletins counts the bulletins to the followers of one hub in
+// a settled cluster of many hosts, most of which no client uses.
+func TestIdleFollowersGetFewerBulletins(t *testing.T) {
+	c := newCluster(3, 20)
+	c.run(2*newHubPeriod, nil)
+	clear(c.bulletins)
+	const rounds = 30
+	c.run(rounds*hubMessageInterval, nil)
+	const strongFollowers, idleFollowers = 3 * 3, 3 * 36
+	if got, want := c.bulletins[true], strongFollowers*rounds; got < want*9/10 {
+		t.Errorf("got %d bulletins to the hosts that clients use, want about %d", got, want)
+	}
+	if got, want := c.bulletins[false], idleFollowers*rounds/roundsPerIdleBulletin; got > want*11/10 || got < want*9/10 {
+		t.Errorf("got %d bulletins to idle hosts, want about %d", got, want)
+	}
+}
--- a/pkg/coordination/roster/messages.go
+++ b/pkg/coordination/roster/messages.go
@@ -15,6 +15,13 @@
 	meshMessageInterval = 250 * time.Millisecond
 	// hubMessageInterval is the interval between the messages of a host when there are hubs.
 	hubMessageInterval = 400 * time.Millisecond
+	// roundsPerIdleBulletin is the number of rounds of which one brings idle followers a
+	// bulletin; in the others they get the digest of the hub, which shows that it is live.
+	roundsPerIdleBulletin = 3
+	// newHubPeriod is how long a new hub sends all followers a bulletin in each round.
+	newHubPeriod = 4 * time.Second
+	// idleRequestRate is the rate of requests, per second, below which a follower is idle.
+	idleRequestRate = 0.1
 	// DepositInterval is the interval at which hosts deposit tokens with their hub.
 	DepositInterval = hubMessageInterval
 	// roundsPerRemoteRound is the number of rounds of messages in a full mesh of which one
@@ -154,9 +161,13 @@
 	if t, known := global.Totals[r.self.Region]; known {
 		regional.Totals[r.self.Region] = t
 	}
+	informed, idle := r.divideFollowers(global.Notices, now)
 	var out []Outgoing
-	if followers := recent(h.followers, followerTimeout, now); len(followers) > 0 {
-		out = append(out, Outgoing{To: followers, Digest: withoutQuota, Bulletin: &global})
+	if len(informed) > 0 {
+		out = append(out, Outgoing{To: informed, Digest: withoutQuota, Bulletin: &global})
+	}
+	if len(idle) > 0 {
+		out = append(out, Outgoing{To: idle, Digest: withoutQuota})
 	}
 	// The remote hubs and the remote senders may differ, because each host chooses from its
 	// own view.
@@ -167,6 +178,26 @@
 	return out
 }
 
+// divideFollowers returns the followers that get a bulletin in this round and the idle
+// ones that do not. All get one while the hub is new, because many hosts may have started
+// with it. While a release is evaluated, all get one in each round, because any
+// host may be the one that decides on it.
+func (r *Roster) divideFollowers(notices []Notice, now clock.Instant) (informed, idle []id.Host) {
+	r.rounds++
+	everyone := r.rounds%roundsPerIdleBulletin == 0 || now.Sub(r.hubs.hubSince) < newHubPeriod
+	for _, n := range notices {
+		everyone = everyone || len(n.ReleaseCounts) > 0
+	}
+	for _, host := range recent(r.hubs.followers, followerTimeout, now) {
+		if h, known := r.states[host]; !everyone && known && h.digest.RequestRate < idleRequestRate {
+			idle = append(idle, host)
+			continue
+		}
+		informed = append(informed, host)
+	}
+	return informed, idle
+}
+
 // notice returns what a hub relays about the host.
 func (h *hostState) notice(now clock.Instant) Notice {
 	d := &h.digest
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -91,7 +91,7 @@
 	sorted []Member
 	// states also holds hosts that have sent a digest and are not listed.
 	states map[id.Host]*hostState
-	// rounds counts the rounds of messages in a full mesh.
+	// rounds counts the rounds of messages in a full mesh, and of a hub.
 	rounds int
 	hubs   hubs
 }
