--- a/internal/transport/http1/server_test.go
+++ b/internal/transport/http1/server_test.go
@@ -74,8 +74,7 @@
 func TestPanicOfOneRequestIsConfined(t *testing.T) {
 	s := startServer(t, func(_ context.Context, c *Call) Reply {
 		if c.Request.URL.Path == "/2" {
-			var missing map[string]int
-			missing["a"] = 1
+			panic("second request")
 		}
 		return textReply(c.Request.URL.Path)
 	})
