Check permissions again after each wait, and refuse just after a pause

Cause: a request kept the route, the account and the key that it was checked by through every wait: for a token, for earlier requests of its connection (seconds), between attempts.

Change: before each send the request is checked again if the desired state has changed; one that may have run gets 502, not 401 or 404. While the control loop's last step is older than 3 s by a clock that counts pauses, requests are refused as not run, reason host_paused.

--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"celerypin.example/celerypin/internal/logging"
@@ -21,6 +22,9 @@
 const (
 	// tickInterval is the interval between steps of the loop when nothing wakes it.
 	tickInterval = 200 * time.Millisecond
+	// maxStepAge is the age of the loop's last step from which requests are refused. Other
+	// hosts stop sending clients to a host that was silent for a shorter time.
+	maxStepAge = 3 * time.Second
 	// relayInterval is the minimum interval between relays of a table to one host.
 	relayInterval = 400 * time.Millisecond
 	// hostPrefix is the key prefix of the rows by which hosts find each other.
@@ -52,6 +56,8 @@
 	log  *logging.Log
 	// started is the instant at which the host's process started.
 	started clock.Instant
+	// steppedAt is the instant at which the loop last completed a step.
+	steppedAt atomic.Int64
 	// wakeUps holds a value while a step is requested.
 	wakeUps   chan struct{}
 	rollouts  *rollout.Controller
@@ -134,10 +140,17 @@
 		case <-ticks:
 		}
 		c.step(ctx, c.host.clock.Now())
+		c.steppedAt.Store(int64(c.host.clock.Now()))
 		c.host.failing.Store(false)
 	}
 }
 
+// current reports whether the loop keeps the snapshots up to date: it does not while this
+// process is paused, and until the first step after that.
+func (c *controller) current(now clock.Instant) bool {
+	return now.Sub(clock.Instant(c.steppedAt.Load())) < maxStepAge
+}
+
 // restart prepares the loop for another run after a panic: all rows are applied again.
 func (c *controller) restart() {
 	c.host.failing.Store(true)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,7 +167,7 @@
 	h.copies.onRead = h.controller.relayToRegion
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
-		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
+		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Current: h.controller.current, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
 		Sender: &sender{pool: h.pool, clock: c}, Clock: c, Random: steer.SystemRandom{},
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: s.Bounds.RetryExtra * retryReserveFraction / minHosts,
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"celerypin.example/celerypin/pkg/coordination/place"
@@ -14,7 +15,9 @@
 // dispatch is the state of one request across its attempts.
 type dispatch[A any] struct {
 	*Steerer[A]
-	request  *Request
+	request *Request
+	// state is the desired state by which route and account were last checked.
+	state    *desired.State
 	route    *desired.Route
 	account  *desired.Account
 	deadline clock.Instant
@@ -63,6 +66,9 @@
 		if remaining < minRemaining {
 			return d.deadlinePassed()
 		}
+		if outcome, reason := d.recheck(now); reason != ReasonNone {
+			return d.withdrawn(outcome, reason)
+		}
 		d.chooseRelease()
 		choice, status := d.Placer.Choose(d.query(remaining), now)
 		if status != place.Chosen {
@@ -75,6 +81,53 @@
 	}
 }
 
+// recheck repeats the checks that may have another result after a wait: for tokens, for
+// earlier requests of the connection, or for an upstream. Its reason is ReasonNone if the
+// request may be sent.
+func (d *dispatch[A]) recheck(now clock.Instant) (Outcome, Reason) {
+	if !d.Current(now) {
+		return Refused, ReasonPaused
+	}
+	state := *d.State.Load()
+	if state == d.state {
+		return Delivered, ReasonNone
+	}
+	route, ok := state.Match(d.request.VirtualHost, d.request.Path)
+	if !ok {
+		return UnknownRoute, ReasonNoRoute
+	}
+	account, ok := authenticate(state, route, d.request)
+	if !ok || accountID(account) != d.decision.Account {
+		return UnknownKey, ReasonKey
+	}
+	d.state, d.route, d.account = state, route, account
+	d.decision.Version, d.decision.Route = state.Version, route.Name
+	if !slices.ContainsFunc(route.Targets, func(t desired.Target) bool { return t.Service == d.service }) {
+		d.service, d.release = d.chooseTarget(route.Targets), ""
+		d.decision.Service = d.service
+	}
+	return Delivered, ReasonNone
+}
+
+// accountID returns the ID of an account, empty if there is none.
+func accountID(a *desired.Account) id.Account {
+	if a == nil {
+		return ""
+	}
+	return a.ID
+}
+
+// withdrawn ends a request that may not be sent any more.
+func (d *dispatch[A]) withdrawn(outcome Outcome, reason Reason) Decision[A] {
+	switch {
+	case d.mayHaveRun:
+		return d.finish(Failed, reason, 0)
+	case outcome == Refused:
+		return d.finish(outcome, reason, notReadyRetryDelay)
+	}
+	return d.finish(outcome, reason, 0)
+}
+
 // awaitEarlier waits until the earlier requests of the connection are answered
 // and reports whether the client is still there. A request that cannot be
 // retried must not run after an answer that ends the connection, because the
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -98,6 +98,7 @@
 const (
 	ReasonNone        Reason = ""
 	ReasonNoState     Reason = "no_desired_state"
+	ReasonPaused      Reason = "host_paused"
 	ReasonNoRoute     Reason = "no_route"
 	ReasonKey         Reason = "key_unknown"
 	ReasonQuota       Reason = "quota"
@@ -112,7 +113,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	ReasonNone, ReasonNoState, ReasonNoRoute, ReasonKey, ReasonQuota, ReasonFull, ReasonNoUpstream, ReasonShed, ReasonUnreachable,
+	ReasonNone, ReasonNoState, ReasonPaused, ReasonNoRoute, ReasonKey, ReasonQuota, ReasonFull, ReasonNoUpstream, ReasonShed, ReasonUnreachable,
 	ReasonDeadline, ReasonLost, ReasonClientLeft,
 }
 
@@ -184,7 +185,10 @@
 	// Draw takes a token from other hosts for a request that Shares refuses, and may wait
 	// for it. Without one, it returns how long the client should wait, or 0 to leave the
 	// delay to Shares.
-	Draw     func(ctx context.Context, account id.Account) (ok bool, delay time.Duration)
+	Draw func(ctx context.Context, account id.Account) (ok bool, delay time.Duration)
+	// Current reports whether the snapshots that requests read are kept up to date. They
+	// are not just after this process was paused: what they permit may have run out.
+	Current  func(now clock.Instant) bool
 	Placer   *place.Placer
 	Splits   *release.Splits
 	Recorder *release.Recorder
@@ -235,18 +239,18 @@
 // NoPool is the Draw of a host that draws no tokens from others.
 func NoPool(context.Context, id.Account) (bool, time.Duration) { return false, 0 }
 
+// AlwaysCurrent is the Current of a host that is never paused.
+func AlwaysCurrent(clock.Instant) bool { return true }
+
 // Serve decides on one request and sends it to upstreams as decided.
 func (s *Steerer[A]) Serve(ctx context.Context, r *Request) Decision[A] {
-	return s.serve(ctx, r, false)
-}
-
-// serve is Serve for a request that was admitted under an earlier desired state if
-// admitted is set.
-func (s *Steerer[A]) serve(ctx context.Context, r *Request, admitted bool) Decision[A] {
 	state := *s.State.Load()
 	if state == nil {
 		return Decision[A]{Outcome: Refused, Reason: ReasonNoState, RetryAfter: s.jitter(notReadyRetryDelay)}
 	}
+	if !s.Current(s.Clock.Now()) {
+		return Decision[A]{Outcome: Refused, Reason: ReasonPaused, RetryAfter: s.jitter(notReadyRetryDelay)}
+	}
 	decision := Decision[A]{Version: state.Version}
 	route, ok := state.Match(r.VirtualHost, r.Path)
 	if !ok {
@@ -261,19 +265,13 @@
 	}
 	if account != nil {
 		decision.Account = account.ID
-	}
-	if account != nil && !admitted {
 		if ok, delay := s.admit(ctx, account.ID); !ok {
 			decision.Outcome, decision.Reason, decision.RetryAfter = OverQuota, ReasonQuota, s.jitter(delay)
 			decision.ShareRate, decision.ShareBurst = s.Shares.Share(account.ID)
 			return decision
 		}
-		if *s.State.Load() != state {
-			// The key or the route may have been withdrawn during the wait.
-			return s.serve(ctx, r, true)
-		}
 	}
-	d := &dispatch[A]{Steerer: s, request: r, route: route, account: account, decision: decision}
+	d := &dispatch[A]{Steerer: s, request: r, state: state, route: route, account: account, decision: decision}
 	d.deadline = r.Arrived.Add(timeoutOf(route, r))
 	return d.execute(ctx)
 }
--- a/pkg/coordination/steer/steer_test.go
+++ b/pkg/coordination/steer/steer_test.go
@@ -26,12 +26,17 @@
 	latency time.Duration
 	sent    []id.Upstream
 	params  []SendParams
+	// onSend, if set, is called before each answer.
+	onSend func()
 }
 
 func (s *scriptedSender) Send(_ context.Context, _ *Request, p SendParams) Exchange[string] {
 	s.sent = append(s.sent, p.Upstream.Info.ID)
 	s.params = append(s.params, p)
 	s.clock.Advance(s.latency)
+	if s.onSend != nil {
+		s.onSend()
+	}
 	result := Answered
 	if n := len(s.sent); n <= len(s.script) {
 		result = s.script[n-1]
@@ -90,7 +95,7 @@
 	splits := release.NewSplits()
 	sender := &scriptedSender{clock: c, script: script, latency: 20 * time.Millisecond}
 	return &fixture{sender: sender, clock: c, Steerer: New(Dependencies[string]{
-		State: rcu.New(s), Draw: NoPool, Shares: shares, Placer: placer, Splits: splits, Recorder: release.NewRecorder(splits),
+		State: rcu.New(s), Draw: NoPool, Current: AlwaysCurrent, Shares: shares, Placer: placer, Splits: splits, Recorder: release.NewRecorder(splits),
 		Approved: func(id.Service) id.Release { return "v1" }, Sender: sender, Clock: c, Random: SystemRandom{}, RetryRatio: 0.2, RetryReserve: 5,
 	})}
 }
