Report quotas of idle hosts and to standbys in one round of three

Cause: each of 195 hosts sends 140 accounts' parts to its hub and its standby 2.5 times a second, 2.7 KB each, though 168 serve no client.

Change: between full rounds a digest says that the last report stays in use; a restarted host, a new hub and a host with clients report fully.

Also a test of late second copies of an answer: behind HEAD, 204 and 304, cut by the next request, whole, and without an attempt.

--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -59,6 +59,7 @@
 	Leaving       bool                      `cbor:"leaving,omitempty"`
 	Follows       bool                      `cbor:"follows,omitempty"`
 	HoldsPool     bool                      `cbor:"pool,omitempty"`
+	QuotaKept     bool                      `cbor:"quotas_kept,omitempty"`
 	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
 	LastChange    map[string]mirror.Version `cbor:"changed,omitempty"`
 	CopyAges      map[string]uint32         `cbor:"ages_ms,omitempty"`
@@ -167,7 +168,7 @@
 func digestToWire(d *roster.Digest) *digest {
 	out := &digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
-		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float32(d.RequestRate),
+		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float32(d.RequestRate),
 		CopyAges: map[string]uint32{},
 	}
 	for table, age := range d.CopyAges {
@@ -236,7 +237,7 @@
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address, Capacity: d.Capacity},
-		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float64(d.RequestRate),
+		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float64(d.RequestRate),
 		CopyAges:      map[string]time.Duration{},
 		Quota:         quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		ReleaseCounts: outcomesFromWire(d.Outcomes), BadReleases: releasesFromWire(d.BadReleases),
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -33,7 +33,7 @@
 		RequestRate: 31, ReleaseCounts: outcomes, BadReleases: []release.ID{{Service: "desk", Release: "v2"}},
 	}
 	hubDigest := &roster.Digest{
-		Incarnation: 7, Sequence: 13, Host: digest.Host, Leaving: true, ReadsFailing: true,
+		Incarnation: 7, Sequence: 13, Host: digest.Host, Leaving: true, ReadsFailing: true, QuotaKept: true,
 		CopyAges: map[string]time.Duration{}, Quota: quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		ReleaseCounts: map[release.RouteRelease]release.Counts{},
 	}
--- a/internal/transport/http1/answer_test.go
+++ b/internal/transport/http1/answer_test.go
@@ -271,3 +271,52 @@
 		t.Error("got the connection in the pool, want it closed")
 	}
 }
+
+// TestLateSecondCopyIsNeverTheNextAnswer sends a second copy of the first answer at
+// different moments: behind answers that have no body, cut in two by the next request,
+// and whole behind it. The next request must get its own answer or none.
+func TestLateSecondCopyIsNeverTheNextAnswer(t *testing.T) {
+	noBody := func(status string) string { return "HTTP/1.1 " + status + "\r\nAttempt: 1\r\n\r\n" }
+	whole := okAnswer("1", "copy")
+	for _, e := range []struct {
+		name, method, first, before, after string
+	}{
+		{"BehindHead", http.MethodHead, "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4\r\n\r\n", "copy", ""},
+		{"BehindHeadLate", http.MethodHead, "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4\r\n\r\n", "", "copy" + whole},
+		{"BehindNoContent", http.MethodGet, noBody("204 No Content"), whole, ""},
+		{"BehindNotModifiedLate", http.MethodGet, noBody("304 Not Modified"), "", "copy" + whole},
+		{"CutByNextRequest", http.MethodGet, okAnswer("1", "own"), whole[:20], whole[20:]},
+		{"Whole", http.MethodGet, okAnswer("1", "own"), "", whole},
+		{"WithoutAttempt", http.MethodGet, okAnswer("1", "own"), "", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy"},
+	} {
+		for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+			t.Run(e.name, func(t *testing.T) {
+				u := newUpstream(t, func(n int, conn net.Conn, in *bufio.Reader) {
+					if n == 0 {
+						_, _ = http.ReadRequest(in)
+						_, _ = io.WriteString(conn, e.first)
+						time.Sleep(pause)
+						_, _ = io.WriteString(conn, e.before)
+					}
+					if _, err := http.ReadRequest(in); err == nil {
+						_, _ = io.WriteString(conn, e.after+okAnswer("2", "next"))
+					}
+				})
+				p := newPool()
+				first := newRequest("1")
+				first.Method = e.method
+				if _, err := do(t, p, u, first); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(pause / 2)
+				answer, err := do(t, p, u, newRequest("2"))
+				if err != nil {
+					return
+				}
+				if got, want := string(answer.Body), "next"; got != want {
+					t.Errorf("got body %q, want %q", got, want)
+				}
+			})
+		}
+	}
+}
--- a/pkg/coordination/roster/hub_test.go
+++ b/pkg/coordination/roster/hub_test.go
@@ -342,7 +342,29 @@
 	if got, want := c.bulletins[true], strongFollowers*rounds; got < want*9/10 {
 		t.Errorf("got %d bulletins to the hosts that clients use, want about %d", got, want)
 	}
-	if got, want := c.bulletins[false], idleFollowers*rounds/roundsPerIdleBulletin; got > want*11/10 || got < want*9/10 {
+	if got, want := c.bulletins[false], idleFollowers*rounds/roundsPerFullRound; got > want*11/10 || got < want*9/10 {
 		t.Errorf("got %d bulletins to idle hosts, want about %d", got, want)
 	}
 }
+
+// TestReportThatIsKeptStaysInUse leaves the quota report out of some digests. The last
+// one must count on, but not that of an earlier incarnation.
+func TestReportThatIsKeptStaysInUse(t *testing.T) {
+	c := newCluster(1, 20)
+	hub, sender := c.hosts[0], c.hosts[5]
+	digest := Digest{Incarnation: 1, Sequence: 1, Host: sender.Host, Quota: quota.Report{Part: map[id.Account]float64{"choir": 0.25}}}
+	hub.roster.ReceiveDigest(digest, c.clock.Now())
+	receivePart := func(incarnation id.Incarnation) float64 {
+		digest.Incarnation, digest.Quota, digest.QuotaKept = incarnation, quota.Report{}, true
+		digest.Sequence++
+		c.clock.Advance(hubMessageInterval)
+		hub.roster.ReceiveDigest(digest, c.clock.Now())
+		return hub.roster.states[sender.ID].digest.Quota.Part["choir"]
+	}
+	if got, want := receivePart(1), 0.25; got != want {
+		t.Errorf("got a part of %v, want %v", got, want)
+	}
+	if got := receivePart(2); got != 0 {
+		t.Errorf("got a part of %v after a restart, want none", got)
+	}
+}
--- a/pkg/coordination/roster/messages.go
+++ b/pkg/coordination/roster/messages.go
@@ -15,9 +15,10 @@
 	meshMessageInterval = 250 * time.Millisecond
 	// hubMessageInterval is the interval between the messages of a host when there are hubs.
 	hubMessageInterval = 400 * time.Millisecond
-	// roundsPerIdleBulletin is the number of rounds of which one brings idle followers a
-	// bulletin; in the others they get the digest of the hub, which shows that it is live.
-	roundsPerIdleBulletin = 3
+	// roundsPerFullRound is the number of rounds of which one brings idle followers a
+	// bulletin, and their hub and all standbys a report on quotas. In the others a digest
+	// shows that its sender is live.
+	roundsPerFullRound = 3
 	// newHubPeriod is how long a new hub sends all followers a bulletin in each round.
 	newHubPeriod = 4 * time.Second
 	// idleRequestRate is the rate of requests, per second, below which a follower is idle.
@@ -78,16 +79,25 @@
 	if r.meshed() {
 		return r.meshMessages(own), nil
 	}
+	r.rounds++
 	remoteHubs := r.chooseHubs(hubStatus{own.ReadsFailing, own.Leaving}, now)
 	h := &r.hubs
+	// The hub and the standby keep the last report while none follows.
+	kept := own
+	kept.Quota, kept.QuotaKept = quota.Report{}, true
+	toHub, toStandby := own, kept
+	if r.rounds%roundsPerFullRound == 0 {
+		toStandby = own
+	} else if own.RequestRate < idleRequestRate && now.Sub(h.chosenSince[h.hub]) > newHubPeriod {
+		toHub = kept
+	}
 	connectIDs := append([]id.Host{h.hub, h.standby}, remoteHubs...)
 	if h.hub != r.self.ID {
-		followerDigest := own
-		followerDigest.Follows = true
-		messages = append(messages, Outgoing{To: []id.Host{h.hub}, Digest: &followerDigest})
+		toHub.Follows = true
+		messages = append(messages, Outgoing{To: []id.Host{h.hub}, Digest: &toHub})
 	}
 	if h.standby != "" {
-		messages = append(messages, Outgoing{To: []id.Host{h.standby}, Digest: &own})
+		messages = append(messages, Outgoing{To: []id.Host{h.standby}, Digest: &toStandby})
 	}
 	// Only the hub sums the quota reports of single hosts. The standby gets them, too, so
 	// that it can take over. All others get the digest without them.
@@ -183,8 +193,7 @@
 // with it. While a release is evaluated, all get one in each round, because any
 // host may be the one that decides on it.
 func (r *Roster) divideFollowers(notices []Notice, now clock.Instant) (informed, idle []id.Host) {
-	r.rounds++
-	everyone := r.rounds%roundsPerIdleBulletin == 0 || now.Sub(r.hubs.hubSince) < newHubPeriod
+	everyone := r.rounds%roundsPerFullRound == 0 || now.Sub(r.hubs.hubSince) < newHubPeriod
 	for _, n := range notices {
 		everyone = everyone || len(n.ReleaseCounts) > 0
 	}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -44,6 +44,8 @@
 	ReadsFailing bool
 	// HoldsPool reports whether the host holds a pool of tokens while it is a hub.
 	HoldsPool bool
+	// QuotaKept is set if Quota is left out because the last report stays in use.
+	QuotaKept bool
 	// Quota is the host's report on the quotas of the accounts.
 	Quota quota.Report
 	// RequestRate is the rate of requests that reach the host, per second.
@@ -91,7 +93,7 @@
 	sorted []Member
 	// states also holds hosts that have sent a digest and are not listed.
 	states map[id.Host]*hostState
-	// rounds counts the rounds of messages in a full mesh, and of a hub.
+	// rounds counts the rounds of messages.
 	rounds int
 	hubs   hubs
 }
@@ -177,6 +179,9 @@
 		(d.Incarnation == old.digest.Incarnation && d.Sequence <= old.digest.Sequence)) {
 		return false
 	}
+	if old := r.states[d.Host.ID]; d.QuotaKept && old != nil && old.digest.Incarnation == d.Incarnation {
+		d.Quota = old.digest.Quota
+	}
 	r.hubs.receivedDirectly(&d, now)
 	r.states[d.Host.ID] = &hostState{digest: d, reportedAt: now, confirmedAt: now, direct: true}
 	return true
