Step the local share of a service without a lock

Change: the request that advances the instant of the last step takes the step; others go on. Measured: place and steer tests under the race detector.

--- a/pkg/coordination/place/localshare.go
+++ b/pkg/coordination/place/localshare.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,10 +25,9 @@
 	// too little free capacity, enough the others.
 	short, enough atomic.Int64
 
-	// mu guards the fields below and serializes steps. Each request takes it.
-	mu        sync.Mutex
-	started   bool
-	steppedAt clock.Instant
+	// steppedAt is the instant of the last step, 0 before the first. The request that
+	// advances it takes the step.
+	steppedAt atomic.Int64
 }
 
 const (
@@ -81,19 +79,15 @@
 // even below goal while the own region is short of free capacity. The first step
 // sets the share to goal; steps that follow sooner than shareStepInterval do nothing.
 func (s *localShare) step(goal float64, now clock.Instant) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.started {
-		s.started = true
-		s.steppedAt = now
-		s.store(goal)
+	last := s.steppedAt.Load()
+	elapsed := now.Sub(clock.Instant(last))
+	if (last != 0 && elapsed < shareStepInterval) || !s.steppedAt.CompareAndSwap(last, int64(now)) {
 		return
 	}
-	elapsed := now.Sub(s.steppedAt)
-	if elapsed < shareStepInterval {
+	if last == 0 {
+		s.store(goal)
 		return
 	}
-	s.steppedAt = now
 	short, enough := s.short.Swap(0), s.enough.Swap(0)
 	maxChange := s.maxChangePerSecond * min(elapsed, time.Second).Seconds()
 	share := s.load()
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -15,9 +15,8 @@
 )
 
 // Placer holds the upstreams of all services and chooses among them. It is safe for
-// concurrent use. A request reads one snapshot of the upstreams. It takes one lock,
-// that of its service's local share; the first request of a route at a service also
-// takes the lock of the timings.
+// concurrent use. A request reads one snapshot of the upstreams and takes no lock, but for
+// the first request of a route at a service, which takes that of the timings.
 type Placer struct {
 	region        id.Region
 	failureDomain id.FailureDomain
