Answer requests whose bytes had arrived when the server stops

Cause: Stop ends the reading of idle connections by a deadline in the past, which hides bytes that have arrived: a request that was in the socket's buffer was cut off without an answer (operators told of this).

Change: before an idle connection closes, its socket is checked for bytes that were not read.

--- a/internal/transport/http1/server_test.go
+++ b/internal/transport/http1/server_test.go
@@ -310,3 +310,41 @@
 		t.Errorf("got the idle connection closed after %v, want at least %v", got, want)
 	}
 }
+
+// TestStopAnswersWhatHasArrived stops the server just after clients have sent a request
+// on connections that were idle. A request whose bytes had arrived must be answered.
+func TestStopAnswersWhatHasArrived(t *testing.T) {
+	const stops, clients = 40, 25
+	cut := 0
+	for range stops {
+		s := startServer(t, func(context.Context, *Call) Reply { return textReply("served") })
+		var conns []net.Conn
+		for range clients {
+			conn := s.dial(t)
+			_, _ = io.WriteString(conn, get("/first"))
+			_, _ = readAnswer(t, bufio.NewReader(conn))
+			conns = append(conns, conn)
+		}
+		var requests sync.WaitGroup
+		requests.Add(clients)
+		for _, conn := range conns {
+			go func() {
+				defer requests.Done()
+				_, _ = io.WriteString(conn, get("/last"))
+			}()
+		}
+		requests.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		s.Stop(ctx)
+		cancel()
+		for _, conn := range conns {
+			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+				cut++
+			}
+			_ = conn.Close()
+		}
+	}
+	if cut > 0 {
+		t.Errorf("got %d of %d requests cut off without an answer, want none", cut, stops*clients)
+	}
+}
--- a/internal/transport/http1/socket.go
+++ b/internal/transport/http1/socket.go
@@ -48,6 +48,26 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
+// hasUnread reports whether bytes have arrived on a connection that were not read. It
+// does not observe the deadline of the connection.
+func hasUnread(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
 // isIdle reports whether a connection is open and has nothing to read.
 func isIdle(conn net.Conn) bool {
 	tcp, ok := conn.(*net.TCPConn)
