Let a host read for its region only once its copy lists itself

Cause: hosts that start together list the store before any has written its row.

Change: a host reads for its region only if its copy holds its own row, and reads the table of hosts again 0.7 s after it has written that row.

--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -37,6 +37,9 @@
 	// because another host may be better placed. Its own copies are fresh during this
 	// time, because it reads the tables itself when it starts.
 	settleDelay = 1200 * time.Millisecond
+	// relistDelay is the delay between the writing of the host's row and the next read of
+	// the table, which then holds the rows of the hosts that started with this one.
+	relistDelay = 700 * time.Millisecond
 	// pruneInterval is the interval between checks for rows of hosts that are down.
 	pruneInterval = 30 * time.Second
 )
@@ -165,7 +168,7 @@
 		c.applyRows(name, rows, now)
 	}
 	c.updateHosts(now)
-	c.host.copies.reading.Store(c.reader == c.self.ID && now.Sub(c.started) >= settleDelay)
+	c.host.copies.reading.Store(c.reader == c.self.ID && now.Sub(c.started) >= settleDelay && c.listsSelf())
 	c.updateRollouts(ctx, now)
 	c.upstreams.step(now)
 	c.updateShares(now)
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -87,6 +87,9 @@
 	freshAt atomic.Int64
 }
 
+// markStale makes the copy count as stale, so that it is read again.
+func (t *tableCopy) markStale() { t.freshAt.Store(0) }
+
 // newCopies returns empty copies. Changes must be applied on all hosts within
 // applyWithin.
 func newCopies(store *platform.Store, c clock.Clock, log *logging.Log, applyWithin time.Duration) *copies {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -75,9 +75,19 @@
 			return
 		}
 		c.setRegistered(true)
+		// Until then, each of the hosts that start together may know of itself only, and
+		// would read all tables for its region.
+		c.host.clock.Sleep(ctx, relistDelay)
+		table.markStale()
 	})
 }
 
+// listsSelf reports whether this host's copy of the table holds its own row, and so those
+// of the hosts that registered before.
+func (c *controller) listsSelf() bool {
+	return c.host.copies.tables[platform.Coordination].Get(hostPrefix+string(c.self.ID)).Version > 0
+}
+
 func (c *controller) isRegistered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
