--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -18,5 +18,5 @@
 echo "without a key:"
 curl -sS -i "http://$CELERYPIN_HOST/rota/sunday"
 "$CELERYPIN" hosts list
-"$CELERYPIN" hosts budgets | head -5
+"$CELERYPIN" hosts budgets | sed -n 1,5p
 "$CELERYPIN" timeline | tail -5
