--- a/internal/edge/panics.go
+++ b/internal/edge/panics.go
@@ -12,10 +12,10 @@
 
 // Tasks to which panics are confined.
 const (
-	taskRow     confine.Task = "row"
-	taskMessage confine.Task = "digest"
-	taskWrite   confine.Task = "write"
-	taskQuery   confine.Task = "query"
+	taskRow    confine.Task = "row"
+	taskDigest confine.Task = "digest"
+	taskWrite  confine.Task = "write"
+	taskQuery  confine.Task = "query"
 )
 
 // reportPanic logs a confined panic and updates the metric.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -100,7 +100,7 @@
 	c.received = nil
 	c.mu.Unlock()
 	for _, r := range received {
-		c.host.guard.Run(taskMessage, func() { c.applyDigest(r, now) })
+		c.host.guard.Run(taskDigest, func() { c.applyDigest(r, now) })
 	}
 }
 
--- a/pkg/coordination/quota/pool.go
+++ b/pkg/coordination/quota/pool.go
@@ -102,8 +102,7 @@
 	p.entries = next
 }
 
-// Clear drops all tokens. A host calls it when it is no longer a holder, and after a
-// pause: other hosts may have taken over meanwhile.
+// Clear drops all tokens. A host calls it when it is no longer a holder.
 func (p *Pool) Clear() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -1,7 +1,9 @@
 // Package quota keeps client accounts within their rates over all hosts
 // together. Each host has a share of each account's rate and burst, in
 // proportion to the demand that reaches it, and spends the share without
-// communication on the path of a request.
+// communication on the path of a request. In a fleet of many hosts, most of an account's
+// shares are smaller than a request; hosts then deposit tokens in pools, and a request
+// that finds none at its host draws one from there.
 //
 // A host's part is its fraction of an account's quota, between 0 and 1; its share is the
 // rate and burst that the part comes to.
