Name no deployment in the examples of two help texts

Cause: version start and config check named a service and a folder of a deployment. Change: the names of the local example. Measured: tests of the commands; config check of the named file is valid.

--- a/cmd/celerypin/cmds/config.go
+++ b/cmd/celerypin/cmds/config.go
@@ -26,7 +26,7 @@
 		Commands: []*cli.Command{
 			{
 				Name: "check", Usage: "validate a configuration file without contacting a host", ArgsUsage: "FILE", Action: configCheck,
-				Description: "Example: celerypin config check examples/pushpa/config.json",
+				Description: "Example: celerypin config check examples/local/config.json",
 			},
 			{
 				Name: "diff", Usage: "compare a configuration file with the configuration in force", ArgsUsage: "FILE",
--- a/cmd/celerypin/cmds/version.go
+++ b/cmd/celerypin/cmds/version.go
@@ -25,7 +25,7 @@
 			{
 				Name: "start", Usage: "start a rollout of a new release", Action: versionStart,
 				Description: "The new release starts with 1 % of the traffic and grows in committed steps; a bad one is taken back automatically.\n\n" +
-					"Example: celerypin version start --service rota-viewer --old v1 --new v2 --deadline 30m",
+					"Example: celerypin version start --service viewer --old v1 --new v2 --deadline 30m",
 				Flags: operatorFlags(service(),
 					&cli.StringFlag{Name: "old", Usage: "`RELEASE` that carries the traffic; required for the first rollout only"},
 					&cli.StringFlag{Name: "new", Usage: "new `RELEASE` to roll out", Required: true},
