--- a/review/_standin/early.go
+++ b/review/_standin/early.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,8 @@
 // uploadOptions are what the two cases of early answers vary.
 type uploadOptions struct {
 	chunked bool
+	// crash makes workers crash instead of answering early.
+	crash bool
 	// cores is the number of cores that the machines show.
 	cores int
 	// size is the number of bytes of an upload. Clients write piece bytes at once and
@@ -40,8 +43,8 @@
 // The dose of the early answers is that of the sites: 0.7 of a service's workers reject
 // 0.4 of the long requests before they are in, for 6 s. The case repeats it.
 const (
-	uploadWorkers  = 10
-	earlyWorkers   = 7
+	uploadWorkers  = 14
+	earlyWorkers   = 9
 	earlyPeriod    = 5
 	earlyInPeriod  = 2
 	earlyDuration  = 6 * time.Second
@@ -50,10 +53,20 @@
 	uploadWork     = 560 * time.Millisecond
 	bookingWork    = 640 * time.Millisecond
 	uploadSlots    = 3
+	uploadThings   = 24
 	settleTime     = 4 * time.Second
 	uploadDeadline = 3 * time.Second
 )
 
+// The dose of the crashes is that of the sites: 0.14 of a service's workers crash for
+// 4.5 s. The case repeats it.
+const (
+	crashWorkers = 2
+	crashTime    = 4500 * time.Millisecond
+	crashPause   = 700 * time.Millisecond
+	crashRounds  = 18
+)
+
 // earlyBytes is how much of a body a worker reads before its early answer.
 const earlyBytes = 640 << 10
 
@@ -65,6 +78,9 @@
 	on   atomic.Bool
 	next atomic.Int64
 
+	// workers are those of the uploads.
+	workers []*worker
+
 	mu sync.Mutex
 	// other lists the uploads of which a worker got other bytes.
 	other []string
@@ -97,7 +113,13 @@
 	for i := range uploadWorkers {
 		served := 0
 		var mu sync.Mutex
+		slots := make(chan struct{}, uploadSlots)
 		k, err := startWorker(fmt.Sprintf("i-gallery-%d", i), func(conn net.Conn, r *http.Request) bool {
+			if o.crash {
+				// A request in the queue waits with its body unread.
+				slots <- struct{}{}
+				defer func() { <-slots }()
+			}
 			mu.Lock()
 			early := i < earlyWorkers && u.on.Load() && served%earlyPeriod < earlyInPeriod
 			served++
@@ -107,6 +129,7 @@
 		if err != nil {
 			return nil, err
 		}
+		u.workers = append(u.workers, k)
 		w.register(k.id, "florist-gallery", zones[i%2], k.address, uploadSlots, time.Now())
 		desk, err := startWorker(fmt.Sprintf("i-desk-%d", i), u.serveBooking)
 		if err != nil {
@@ -152,7 +175,10 @@
 		channel := &bookingChannel{uploads: u, host: u.hosts[0], name: i}
 		run(channel.book)
 	}
-	for round := 0; round < earlyRounds && !u.finished(); round++ {
+	for round := 0; round < crashRounds && u.options.crash && !u.finished(); round++ {
+		u.crashWorkers(round)
+	}
+	for round := 0; round < earlyRounds && !u.options.crash && !u.finished(); round++ {
 		u.on.Store(u.trouble)
 		u.record.printf("early answers: %v", u.trouble)
 		u.waitWhile(earlyDuration)
@@ -164,6 +190,31 @@
 	clients.Wait()
 }
 
+// crashWorkers lets some workers crash and come back.
+func (u *uploads) crashWorkers(round int) {
+	u.waitWhile(crashPause)
+	var down []*worker
+	for i := range crashWorkers {
+		down = append(down, u.workers[(round*crashWorkers+i)%uploadWorkers])
+	}
+	for _, k := range down {
+		if u.trouble {
+			u.record.printf("worker %s crashes with %d connections", k.id, k.crash())
+		}
+	}
+	u.waitWhile(crashTime)
+	for _, k := range down {
+		if !u.trouble {
+			continue
+		}
+		if err := k.open(); err != nil {
+			u.record.printf("worker %s does not come back: %v", k.id, err)
+			continue
+		}
+		u.register(k.id, "florist-gallery", []string{"colombo", "negombo"}[slices.Index(u.workers, k)%2], k.address, uploadSlots, time.Now())
+	}
+}
+
 func (u *uploads) finished() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -245,8 +296,8 @@
 	if u.options.chunked {
 		length = "Transfer-Encoding: chunked"
 	}
-	_, err = fmt.Fprintf(conn, "POST /upload/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a-%d\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n",
-		n, virtualHost, n, uploadDeadline.Milliseconds(), tenantKey, length)
+	_, err = fmt.Fprintf(conn, "POST /upload/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a-%d\r\nAffinity-Key: %d\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n",
+		n, virtualHost, n, n%uploadThings, uploadDeadline.Milliseconds(), tenantKey, length)
 	piece := make([]byte, u.options.piece)
 	sent := uint64(0)
 	for err == nil && sent < u.options.size {
@@ -347,12 +398,11 @@
 // maxUnanswered is how many requests on kept channels the rule allows to be lost.
 const maxUnanswered = 3
 
-// earlyAnswerCrash: a host must not end, and lose the requests of others, when workers
-// answer uploads early.
-func earlyAnswerCrash(w *world) ([]string, error) {
+// crashMidUpload: a host must not end, and lose the requests of others, when workers crash
+// while uploads are on their way to them.
+func crashMidUpload(w *world) ([]string, error) {
 	u, err := playUploads(w, uploadOptions{
-		chunked: true, cores: 1, size: 2 << 20, piece: 16 << 10, pause: 2 * time.Millisecond, answer: 300 << 10, clients: 24, bystanders: 12,
-		hold: 100 * time.Millisecond, lag: 20 * time.Millisecond,
+		chunked: true, crash: true, cores: 1, size: 2 << 20, piece: 16 << 10, pause: 2 * time.Millisecond, answer: 1500, clients: 100, bystanders: 12,
 		until: func(u *uploads) bool { return u.hosts[0].ended() },
 	})
 	if err != nil {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -17,7 +17,7 @@
 // cases maps the names of the cases to their functions. A case returns the breaches of
 // its rule that clients, workers or the platform have seen.
 var cases = map[string]func(w *world) ([]string, error){
-	"early-answer-crash": earlyAnswerCrash,
+	"crash-mid-upload":   crashMidUpload,
 	"early-answer-bytes": earlyAnswerBytes,
 	"stop-cuts-request":  stopCutsRequest,
 	"quota-partition":    quotaPartition,
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -21,16 +22,26 @@
 	// serve runs a request and writes its answer. It reports whether the connection
 	// serves further requests.
 	serve func(conn net.Conn, r *http.Request) bool
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
 }
 
 // startWorker opens a worker on a free port.
 func startWorker(id string, serve func(net.Conn, *http.Request) bool) (*worker, error) {
+	k := &worker{id: id, address: "127.0.0.1:0", serve: serve, conns: map[net.Conn]bool{}}
+	return k, k.open()
+}
+
+// open begins to accept connections, at the address that the worker had before.
+func (k *worker) open() error {
 	config := net.ListenConfig{Control: smallSegments}
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := config.Listen(context.Background(), "tcp", k.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	k := &worker{id: id, address: l.Addr().String(), serve: serve}
+	k.listener, k.address = l, l.Addr().String()
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -40,11 +51,34 @@
 			go k.handle(conn)
 		}
 	}()
-	return k, nil
+	return nil
+}
+
+// crash ends the worker as its system would: all its connections are reset and new ones
+// refused. It returns the number of connections.
+func (k *worker) crash() int {
+	_ = k.listener.Close()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for conn := range k.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	return len(k.conns)
 }
 
 func (k *worker) handle(conn net.Conn) {
-	defer conn.Close()
+	k.mu.Lock()
+	k.conns[conn] = true
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		delete(k.conns, conn)
+		k.mu.Unlock()
+		_ = conn.Close()
+	}()
 	in := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(in)
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -141,15 +141,6 @@
 	return h, nil
 }
 
-// restartHost starts the process of a host again once it has ended.
-func (w *world) restartHost(h *host) error {
-	<-h.done
-	h.mu.Lock()
-	h.ending = false
-	h.mu.Unlock()
-	return w.launch(h)
-}
-
 // launch starts the process of a host with the command of the deploy file.
 func (w *world) launch(h *host) error {
 	out, err := os.OpenFile(h.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
