Let requests run until shortly before SIGKILL when a host stops

Cause: Host.Stop let running requests finish within 0.8 of the grace time, whatever that time was.

Change: a fixed time is kept for closing, 0.5 s, and at most a twelfth of the grace time.

Test: TestStopAnswersWorkUntilTheLastSixth, before: stopped after 2.401 s, the last answer after 2.461 s, of 3 s; TestFinishTimeLeavesTheLastSixth, before: 4.8 s of 6 s, want more than 5 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,9 +51,12 @@
 	// acceptFraction is the fraction of the time between SIGTERM and SIGKILL in
 	// which connections are still accepted.
 	acceptFraction = 0.5
-	// finishFraction is the fraction of the time between SIGTERM and SIGKILL in
-	// which running requests may finish.
-	finishFraction = 0.8
+	// closeReserve is the time before SIGKILL that is kept for closing. It covers the
+	// flush of the log and the delay with which a throttled process handles SIGTERM.
+	closeReserve = 500 * time.Millisecond
+	// maxCloseFraction bounds closeReserve, as a fraction of the time between SIGTERM and
+	// SIGKILL: requests may run into the last sixth of that time.
+	maxCloseFraction = 1.0 / 12
 	// connectionCheckInterval is the interval between checks for unused connections.
 	connectionCheckInterval = 2 * time.Second
 )
@@ -292,6 +295,12 @@
 	h.log.Info("Settings reloaded.")
 }
 
+// finishTime returns how long running requests may take after SIGTERM, given the time
+// between SIGTERM and SIGKILL.
+func finishTime(grace time.Duration) time.Duration {
+	return grace - min(closeReserve, time.Duration(maxCloseFraction*float64(grace)))
+}
+
 // Stop shuts the host down gracefully, within the time between SIGTERM and SIGKILL.
 func (h *Host) Stop() {
 	grace := h.settings.Load().Bounds.Grace
@@ -302,7 +311,7 @@
 	h.log.With("requests", h.clientServer.Active()).Info("Stopping.")
 	h.clock.Sleep(context.Background(), time.Duration(acceptFraction*float64(grace)))
 	_ = h.listeners[0].Close()
-	remaining := time.Duration(finishFraction*float64(grace)) - h.clock.Now().Sub(startedAt)
+	remaining := finishTime(grace) - h.clock.Now().Sub(startedAt)
 	finishCtx, cancel := context.WithTimeout(context.Background(), remaining)
 	h.clientServer.Stop(finishCtx)
 	cancel()
--- /dev/null
+++ b/internal/edge/stop_test.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestStopAnswersWorkUntilTheLastSixth guards against requests that a planned stop cuts
+// although their upstream is done before the last sixth of the time to stop.
+func TestStopAnswersWorkUntilTheLastSixth(t *testing.T) {
+	const grace = 3 * time.Second
+	// The work of each request ends between 0.8 and 5/6 of the grace time.
+	const sentAfter, workEnds = 200 * time.Millisecond, 2460 * time.Millisecond
+	d := startDeployment(t, map[string]float64{"graceS": grace.Seconds()})
+	u := d.startUpstream("u", "d", 0)
+	d.awaitServing()
+	u.ServiceTime = workEnds - sentAfter
+	requests := []string{
+		"GET /look/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\nAttempt-Id: look\r\n\r\n",
+		"POST /swap/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\nAttempt-Id: swap\r\nContent-Length: 4\r\n\r\nswap",
+		"POST /photo/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\nAttempt-Id: photo\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nphoto\r\n0\r\n\r\n",
+	}
+	var conns []net.Conn
+	for range requests {
+		conn, err := net.Dial("tcp", d.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	startedAt := time.Now()
+	stopped := make(chan time.Duration, 1)
+	go func() {
+		d.host.Stop()
+		stopped <- time.Since(startedAt)
+	}()
+	time.Sleep(sentAfter)
+	for i, conn := range conns {
+		_, _ = io.WriteString(conn, requests[i])
+	}
+	var lastAnswered time.Duration
+	for i, conn := range conns {
+		answer, err := io.ReadAll(conn)
+		lastAnswered = time.Since(startedAt)
+		if got, want := string(answer), "HTTP/1.1 200 OK\r\n"; err != nil || !strings.HasPrefix(got, want) {
+			t.Errorf("request %d: got %q, error %v after %v, want %q", i, got, err, time.Since(startedAt).Round(time.Millisecond), want)
+		}
+	}
+	// The process ends, and with it all connections, when Stop returns.
+	if got := <-stopped; got < lastAnswered || got >= grace {
+		t.Errorf("got the host stopped after %v, want it between the last answer, after %v, and %v", got, lastAnswered, grace)
+	}
+}
+
+// TestFinishTimeLeavesTheLastSixth guards against a stop that ends before the last sixth
+// of any grace time, or not before SIGKILL.
+func TestFinishTimeLeavesTheLastSixth(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, time.Second, 6 * time.Second, 10 * time.Second, time.Hour} {
+		got := finishTime(grace)
+		if lowest := grace * 5 / 6; got <= lowest || got >= grace {
+			t.Errorf("grace time %v: got %v for running requests, want more than %v and less than the grace time", grace, got, lowest)
+		}
+	}
+}
