Log the counts by which a step of a rollout is decided

The lines on a rollout had its share and state, but not what the decision counted, so they could not tell a release whose bad requests are not counted from one whose counts are not compared. The host that decides now logs "Rollout step decided." with requests, failed and slow of both releases.

--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -43,6 +43,12 @@
 		c.log.With("error", err).Error("A rollout record could not be encoded.")
 		return
 	}
+	change := w.Record.Change
+	before, after := c.rollouts.Counts(change.Service, change.Old), c.rollouts.Counts(change.Service, change.New)
+	c.log.With("service", change.Service).With("release", change.New).With("step", w.Record.Step).With("share_milli", change.Share).
+		With("state", change.State).With("reason", change.Reason).
+		With("requests", after.Requests).With("failed", after.Failed).With("slow", after.Slow).
+		With("old_requests", before.Requests).With("old_failed", before.Failed).With("old_slow", before.Slow).Info("Rollout step decided.")
 	key := releasePrefix + string(w.Record.Service)
 	puts := []platform.Put{{Table: platform.Coordination, Key: key, Value: data, Conditional: true, Expected: w.Record.Version}}
 	if w.Publish {
--- a/pkg/coordination/rollout/counter.go
+++ b/pkg/coordination/rollout/counter.go
@@ -47,12 +47,12 @@
 
 func (ctr *counter) counts() map[release.RouteRelease]release.Counts { return maps.Clone(ctr.totals) }
 
-// requests returns the number of requests that a release has served on all routes.
-func (ctr *counter) requests(service id.Service, r id.Release) uint64 {
-	sum := uint64(0)
+// sum returns the counts of a release on all routes.
+func (ctr *counter) sum(service id.Service, r id.Release) release.Counts {
+	sum := release.Counts{}
 	for rr, c := range ctr.totals {
 		if rr.Service == service && rr.Release == r {
-			sum += c.Requests
+			sum = sum.Add(c)
 		}
 	}
 	return sum
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -118,6 +118,11 @@
 	}
 }
 
+// Counts returns the counts of a release on all routes, as reported by all hosts.
+func (c *Controller) Counts(service id.Service, r id.Release) release.Counts {
+	return c.counter.sum(service, r)
+}
+
 // Bad returns the releases that are known to be bad, sorted.
 func (c *Controller) Bad() []release.ID {
 	out := make([]release.ID, 0, len(c.bad))
@@ -202,7 +207,7 @@
 	if elapsed < stepDuration {
 		return Write{}, false
 	}
-	if r.Step >= lastLimitedStep && c.counter.requests(o.Service, r.Change.New) < minRequests && elapsed < time.Duration(maxStepFactor*float64(stepDuration)) {
+	if r.Step >= lastLimitedStep && c.counter.sum(o.Service, r.Change.New).Requests < minRequests && elapsed < time.Duration(maxStepFactor*float64(stepDuration)) {
 		return Write{}, false
 	}
 	if r.Step >= lastLimitedStep && c.counter.failureRatio(o.Service, r.Change.New) > maxFailureRatio {
