Count a request without an answer in its time as slow for its release

Cause: a request was slow above three times the usual latency, and one that its time ended counted with the route's timeout as latency, never as failed. Where the timeout is shorter than three times the usual latency, here 1 s and 1.5 s, nothing can be slow. "Rollout step decided." showed failed=0 slow=0 for requests that were answered 504, so the counts were complete and wrong.

Change: Recorder.Record takes an outcome; one without an answer is slow whatever the usual latency. It is no failure, because the old release is late under overload too, and the evaluator compares the two. The project's own interface counts such requests as failed already.

--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -286,8 +286,11 @@
 		return
 	}
 	subject := release.RouteRelease{Service: upstream.Info.Service, Release: upstream.Info.Release, Route: x.admission.Route.ID}
-	failed := err != nil || response.StatusCode >= http.StatusInternalServerError
-	x.server.Recorder.Record(subject, x.server.Clock.Now().Sub(start), failed)
+	outcome := release.Answered
+	if err != nil || response.StatusCode >= http.StatusInternalServerError {
+		outcome = release.Failed
+	}
+	x.server.Recorder.Record(subject, x.server.Clock.Now().Sub(start), outcome)
 }
 
 // classifyError returns the refusal for a failed attempt, and whether another upstream may be
--- a/pkg/coordination/agent/promise_release_test.go
+++ b/pkg/coordination/agent/promise_release_test.go
@@ -102,7 +102,11 @@
 	process := h.process
 	r.fleet.after(latency, func() {
 		r.fleet.onHost(h, process, func() {
-			view.Recorder.Record(release.RouteRelease{Service: "s", Release: chosen, Route: route}, latency, failed)
+			outcome := release.Answered
+			if failed {
+				outcome = release.Failed
+			}
+			view.Recorder.Record(release.RouteRelease{Service: "s", Release: chosen, Route: route}, latency, outcome)
 		})
 	})
 }
--- a/pkg/coordination/release/recorder.go
+++ b/pkg/coordination/release/recorder.go
@@ -62,8 +62,8 @@
 	return &Recorder{splits: splits, counts: rcu.New(map[RouteRelease]*counters{}), usualLatency: rcu.New(map[serviceRoute]*atomic.Int64{})}
 }
 
-// A request is slow if its latency exceeds slowFactor times the usual latency of
-// the old release on its route plus slowMargin.
+// An answer is slow if its latency exceeds slowFactor times the usual latency of the
+// old release on its route plus slowMargin.
 const (
 	slowFactor = 3
 	slowMargin = 10 * time.Millisecond
@@ -71,19 +71,35 @@
 	latencySmoothing = 128
 )
 
+// Outcome is how a request ended at its upstream.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	// Answered means that the upstream answered; the latency decides whether it was slow.
+	Answered Outcome = iota
+	// Failed means that the upstream answered that the request has failed.
+	Failed
+	// Unanswered means that no answer arrived in the time that the request had. It counts as
+	// slow whatever the usual latency is, because that time may be shorter than the latency
+	// from which an answer is slow. It does not count as failed, because any release may be
+	// late under load.
+	Unanswered
+)
+
 // Record counts one request. It updates the usual latency unless the request failed
 // or was one of a new release. Of two concurrent updates of the usual latency one may
 // be lost.
-func (r *Recorder) Record(rr RouteRelease, latency time.Duration, failed bool) {
+func (r *Recorder) Record(rr RouteRelease, latency time.Duration, outcome Outcome) {
 	c := r.countersOf(rr)
 	c.requests.Add(1)
-	if failed {
+	if outcome == Failed {
 		c.failed.Add(1)
 		return
 	}
 	usual := r.usualLatencyOf(serviceRoute{rr.Service, rr.Route})
 	mean := usual.Load()
-	if mean != 0 && int64(latency) > slowFactor*mean+int64(slowMargin) {
+	if outcome == Unanswered || mean != 0 && int64(latency) > slowFactor*mean+int64(slowMargin) {
 		c.slow.Add(1)
 	}
 	if split, ok := r.splits.Get(rr.Service); ok && split.New == rr.Release {
--- a/pkg/coordination/release/release_test.go
+++ b/pkg/coordination/release/release_test.go
@@ -140,16 +140,31 @@
 	splits.Set([]table.ReleaseChange{record(500, table.ReleaseGrowing)}, noneBad)
 	r := NewRecorder(splits)
 	for range 100 {
-		r.Record(RouteRelease{"s", "v1", "a"}, 10*time.Millisecond, false)
+		r.Record(RouteRelease{"s", "v1", "a"}, 10*time.Millisecond, Answered)
 	}
-	r.Record(RouteRelease{"s", "v2", "a"}, 39*time.Millisecond, false)
-	r.Record(RouteRelease{"s", "v2", "a"}, 41*time.Millisecond, false)
-	r.Record(RouteRelease{"s", "v2", "a"}, time.Second, true)
+	r.Record(RouteRelease{"s", "v2", "a"}, 39*time.Millisecond, Answered)
+	r.Record(RouteRelease{"s", "v2", "a"}, 41*time.Millisecond, Answered)
+	r.Record(RouteRelease{"s", "v2", "a"}, time.Second, Failed)
 	want := Counts{Requests: 3, Failed: 1, Slow: 1}
 	if got := r.Counts()[RouteRelease{"s", "v2", "a"}]; got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	if got := testing.AllocsPerRun(100, func() { r.Record(RouteRelease{"s", "v1", "a"}, time.Millisecond, false) }); got != 0 {
+	if got := testing.AllocsPerRun(100, func() { r.Record(RouteRelease{"s", "v1", "a"}, time.Millisecond, Answered) }); got != 0 {
 		t.Errorf("got %v allocations for a count, want 0", got)
 	}
 }
+
+// TestUnansweredRequestIsSlow guards against requests that never count as slow because
+// their time ends before they exceed three times the usual latency.
+func TestUnansweredRequestIsSlow(t *testing.T) {
+	splits := NewSplits()
+	splits.Set([]table.ReleaseChange{record(500, table.ReleaseGrowing)}, noneBad)
+	r := NewRecorder(splits)
+	r.Record(RouteRelease{"s", "v1", "a"}, 500*time.Millisecond, Answered)
+	r.Record(RouteRelease{"s", "v2", "a"}, time.Second, Answered)
+	r.Record(RouteRelease{"s", "v2", "a"}, time.Second, Unanswered)
+	want := Counts{Requests: 2, Slow: 1}
+	if got := r.Counts()[RouteRelease{"s", "v2", "a"}]; got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -255,13 +255,14 @@
 	if u.Cold(now) && e.Result != AnsweredFailure {
 		return
 	}
-	// Only an answer counts as a failure of the release. A request that takes too
-	// long counts as slow, because any release is slow under load.
-	latency := c.WarmEquivalent(elapsed)
-	if e.Result == NoAnswer || e.Result == AnsweredTimeout {
-		latency = max(latency, d.route.Timeout)
+	latency, outcome := c.WarmEquivalent(elapsed), release.Answered
+	switch e.Result {
+	case AnsweredFailure:
+		outcome = release.Failed
+	case NoAnswer, AnsweredTimeout:
+		latency, outcome = max(latency, d.route.Timeout), release.Unanswered
 	}
-	d.Recorder.Record(release.RouteRelease{Service: d.service, Release: u.Info.Release, Route: d.route.Name}, latency, e.Result == AnsweredFailure)
+	d.Recorder.Record(release.RouteRelease{Service: d.service, Release: u.Info.Release, Route: d.route.Name}, latency, outcome)
 }
 
 // conclude turns an exchange into a decision, or returns false if another attempt
--- a/pkg/coordination/steer/steer_test.go
+++ b/pkg/coordination/steer/steer_test.go
@@ -29,6 +29,8 @@
 	params  []SendParams
 	// onSend, if set, is called before each answer.
 	onSend func()
+	// resultOf, if set, returns the result of each exchange with an upstream.
+	resultOf func(*place.Upstream) Result
 }
 
 func (s *scriptedSender) Send(_ context.Context, _ *Request, p SendParams) Exchange[string] {
@@ -42,6 +44,9 @@
 	if n := len(s.sent); n <= len(s.script) {
 		result = s.script[n-1]
 	}
+	if s.resultOf != nil {
+		result = s.resultOf(p.Upstream)
+	}
 	return Exchange[string]{Result: result, Answer: "answer", ReusedConnection: true}
 }
 
