Count requests whose client has waited in vain for their release

Where clients wait no longer than the route's timeout, they leave some milliseconds before the deadline at the host, because they count from when they sent the request. Such requests were not counted for their release at all, so one that is too slow for its clients was found bad only by those that came back in time.

Change: a client that leaves after nine tenths of its time counts as unanswered, which is slow. One that leaves earlier counts only if its request was slow already, since it may have left for other reasons.

Test: steer TestClientsThatLeaveCountAgainstASlowRelease, before: 0 requests counted in each of four cases; now 20, 20, 20 and 0 of 20.

--- a/pkg/coordination/release/recorder.go
+++ b/pkg/coordination/release/recorder.go
@@ -85,23 +85,33 @@
 	// from which an answer is slow. It does not count as failed, because any release may be
 	// late under load.
 	Unanswered
+	// Abandoned means that the client left before the time of its request was over. It counts
+	// only if the request was slow already, as the client may have left for other reasons.
+	Abandoned
 )
 
 // Record counts one request. It updates the usual latency unless the request failed
 // or was one of a new release. Of two concurrent updates of the usual latency one may
 // be lost.
 func (r *Recorder) Record(rr RouteRelease, latency time.Duration, outcome Outcome) {
+	usual := r.usualLatencyOf(serviceRoute{rr.Service, rr.Route})
+	mean := usual.Load()
+	slow := mean != 0 && int64(latency) > slowFactor*mean+int64(slowMargin)
+	if outcome == Abandoned && !slow {
+		return
+	}
 	c := r.countersOf(rr)
 	c.requests.Add(1)
 	if outcome == Failed {
 		c.failed.Add(1)
 		return
 	}
-	usual := r.usualLatencyOf(serviceRoute{rr.Service, rr.Route})
-	mean := usual.Load()
-	if outcome == Unanswered || mean != 0 && int64(latency) > slowFactor*mean+int64(slowMargin) {
+	if slow || outcome == Unanswered {
 		c.slow.Add(1)
 	}
+	if outcome == Abandoned {
+		return
+	}
 	if split, ok := r.splits.Get(rr.Service); ok && split.New == rr.Release {
 		return
 	}
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -233,6 +233,8 @@
 	}
 	clientLeft := ctx.Err() != nil && context.Cause(ctx) != errDeadline
 	switch {
+	case clientLeft && e.Result == NoAnswer:
+		// Says nothing about the upstream, but may count against its release.
 	case clientLeft && e.Result != Answered:
 		return
 	case e.Result == Answered:
@@ -256,15 +258,29 @@
 		return
 	}
 	latency, outcome := c.WarmEquivalent(elapsed), release.Answered
-	switch e.Result {
-	case AnsweredFailure:
+	switch {
+	case e.Result == AnsweredFailure:
 		outcome = release.Failed
-	case NoAnswer, AnsweredTimeout:
+	case clientLeft && e.Result == NoAnswer && !d.waitedFully(now):
+		outcome = release.Abandoned
+	case e.Result == NoAnswer, e.Result == AnsweredTimeout:
 		latency, outcome = max(latency, d.route.Timeout), release.Unanswered
 	}
 	d.Recorder.Record(release.RouteRelease{Service: d.service, Release: u.Info.Release, Route: d.route.Name}, latency, outcome)
 }
 
+// fullWaitFraction is the fraction of a request's time from which a client that leaves has
+// waited for all of it. The client counts from when it sent the request, so that it always
+// leaves some milliseconds before the deadline here.
+const fullWaitFraction = 0.9
+
+// waitedFully reports whether a client that leaves at now has waited as long as it had
+// stated or the route allows.
+func (d *dispatch[A]) waitedFully(now clock.Instant) bool {
+	whole := d.deadline.Sub(d.request.Arrived)
+	return now.Sub(d.request.Arrived) >= time.Duration(fullWaitFraction*float64(whole))
+}
+
 // conclude turns an exchange into a decision, or returns false if another attempt
 // follows.
 func (d *dispatch[A]) conclude(ctx context.Context, c *place.Choice, e Exchange[A]) (Decision[A], bool) {
--- a/pkg/coordination/steer/release_test.go
+++ b/pkg/coordination/steer/release_test.go
@@ -70,3 +70,55 @@
 	}
 	golden.Check(t, "release_counts.golden", []byte(out.String()))
 }
+
+// TestClientsThatLeaveCountAgainstASlowRelease guards against a release that is never
+// found bad because clients give up just before the deadline at the host. Clients wait
+// for 700 ms, less than the route's 800 ms.
+func TestClientsThatLeaveCountAgainstASlowRelease(t *testing.T) {
+	const learned, requests = 600, 40
+	var out strings.Builder
+	for _, c := range []struct {
+		name string
+		// usual is the latency of the old release, left how long clients wait for the new one.
+		usual, left time.Duration
+	}{
+		{"after their whole time, below the slow latency", 300 * time.Millisecond, 695 * time.Millisecond},
+		{"after their whole time, above the slow latency", 100 * time.Millisecond, 695 * time.Millisecond},
+		{"early, above the slow latency", 20 * time.Millisecond, 400 * time.Millisecond},
+		{"early, below the slow latency", 300 * time.Millisecond, 400 * time.Millisecond},
+	} {
+		f := newFixture()
+		f.sender.latency = c.usual
+		asked := 0
+		ask := func(ctx context.Context) {
+			r := f.request("/swap/1", "k")
+			r.Remaining = 700 * time.Millisecond
+			// Each object twice, so that the latencies of known and unknown ones are learned.
+			asked++
+			r.Object = id.Object(fmt.Sprint(asked / 2))
+			f.Serve(ctx, r)
+			f.clock.Advance(time.Second)
+		}
+		for range learned {
+			ask(context.Background())
+		}
+		f.startRollout("viewer")
+		ctx, cancel := context.WithCancel(context.Background())
+		f.sender.resultOf = func(u *place.Upstream) Result {
+			if u.Info.Release == "v1" {
+				return Answered
+			}
+			f.clock.Advance(c.left - c.usual)
+			cancel()
+			return NoAnswer
+		}
+		for range requests {
+			ask(ctx)
+			ctx, cancel = context.WithCancel(context.Background())
+		}
+		cancel()
+		got := f.Recorder.Counts()[release.RouteRelease{Service: "viewer", Release: "v2", Route: "swap"}]
+		fmt.Fprintf(&out, "%-47s %d requests, %d failed, %d slow\n", c.name, got.Requests, got.Failed, got.Slow)
+	}
+	golden.Check(t, "abandoned_counts.golden", []byte(out.String()))
+}
