Answer the requests that still run when the time to stop is over

Callers whose requests took longer than a stopping host had left saw a closed connection, also those whose request had waited in the host and had reached no upstream. A closed connection does not say that.

Cause: after its wait, Host.Stop closed what was open and the process ended.

Change: http1.Server.Stop cancels the contexts of such calls with a cause and waits up to 0.25 s for their answers; steer answers 503 if the request has not run, and 502 if an upstream may have run it (reason host_stopping).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -313,8 +313,11 @@
 	_ = h.listeners[0].Close()
 	remaining := finishTime(grace) - h.clock.Now().Sub(startedAt)
 	finishCtx, cancel := context.WithTimeout(context.Background(), remaining)
-	h.clientServer.Stop(finishCtx)
+	cancelled := h.clientServer.Stop(finishCtx, steer.ErrHostStopping)
 	cancel()
+	if cancelled > 0 {
+		h.log.With("requests", cancelled).Warn("Requests were cancelled because the time to stop was over.")
+	}
 	for _, s := range h.otherServers {
 		_ = s.Close()
 	}
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -66,3 +66,32 @@
 		}
 	}
 }
+
+// TestStopAnswersWorkThatTakesTooLong guards against requests that end with a closed
+// connection when the time to stop is over.
+func TestStopAnswersWorkThatTakesTooLong(t *testing.T) {
+	const grace = time.Second
+	d := startDeployment(t, map[string]float64{"graceS": grace.Seconds()})
+	u := d.startUpstream("u", "d", 0)
+	d.awaitServing()
+	u.ServiceTime = 2 * grace
+	conn, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST /swap/1 HTTP/1.1\r\nHost: "+testVirtualHost+"\r\nAttempt-Id: swap\r\nContent-Length: 4\r\n\r\nswap")
+	for d.host.clientServer.Active() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	startedAt := time.Now()
+	d.host.Stop()
+	if got, want := time.Since(startedAt), grace; got >= want {
+		t.Errorf("got the host stopped after %v, want less than %v", got, want)
+	}
+	answer, err := io.ReadAll(conn)
+	// The upstream may have run the request, so the answer must not promise otherwise.
+	if got, want := string(answer), "HTTP/1.1 502 Bad Gateway\r\n"; err != nil || !strings.HasPrefix(got, want) {
+		t.Errorf("got %q, error %v, want %q", got, err, want)
+	}
+}
--- a/internal/transport/http1/server.go
+++ b/internal/transport/http1/server.go
@@ -41,7 +41,8 @@
 	Abort bool
 }
 
-// Handler answers calls. The context is cancelled when the client disconnects.
+// Handler answers calls. The context is cancelled when the client disconnects, and when
+// the server stops before the call has ended.
 type Handler interface {
 	Handle(ctx context.Context, c *Call) Reply
 }
@@ -78,7 +79,8 @@
 // are pending.
 //
 // Drain makes the server send "Connection: close" with the last answer of each
-// connection. Stop closes idle connections and waits for the others to end.
+// connection. Stop closes idle connections, waits for the others to end, and cancels the
+// calls that take too long.
 type Server struct {
 	handler  Handler
 	limits   func() Limits
@@ -141,10 +143,30 @@
 // Drain makes each connection close with the answer to its last pending request.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Stop closes idle connections and waits until the others have ended or ctx ends.
-func (s *Server) Stop(ctx context.Context) {
+// Stop closes idle connections and waits until the others have ended or ctx ends. Then it
+// cancels the contexts of the calls that still run, with cause, waits for their answers
+// for up to stopAnswerTimeout, and returns how many calls it has cancelled.
+func (s *Server) Stop(ctx context.Context, cause error) (cancelled int) {
 	s.draining.Store(true)
 	s.stopping.Store(true)
+	if s.awaitClosed(ctx) {
+		return 0
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		cancelled += c.pendingRequests()
+		c.cancel(cause)
+	}
+	s.mu.Unlock()
+	answerCtx, cancel := context.WithTimeout(context.Background(), stopAnswerTimeout)
+	defer cancel()
+	s.awaitClosed(answerCtx)
+	return cancelled
+}
+
+// awaitClosed closes idle connections until none is open, and reports whether that was
+// before ctx ended.
+func (s *Server) awaitClosed(ctx context.Context) bool {
 	for {
 		s.mu.Lock()
 		open := len(s.conns)
@@ -152,12 +174,18 @@
 			c.closeIfIdle()
 		}
 		s.mu.Unlock()
-		if open == 0 || !s.clock.Sleep(ctx, stopPollInterval) {
-			return
+		if open == 0 {
+			return true
+		}
+		if !s.clock.Sleep(ctx, stopPollInterval) {
+			return false
 		}
 	}
 }
 
+// stopAnswerTimeout bounds the wait for the answers of cancelled calls.
+const stopAnswerTimeout = 250 * time.Millisecond
+
 // stopPollInterval is the interval at which Stop checks the connections.
 const stopPollInterval = 20 * time.Millisecond
 
--- a/internal/transport/http1/server_test.go
+++ b/internal/transport/http1/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,9 @@
 
 var testLimits = Limits{HeaderBytes: 4 << 10, MaxBodyBytes: 2 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 
+// errTestStop is the cause with which tests stop a server.
+var errTestStop = errors.New("the test stops the server")
+
 // newGuard returns a guard that reports nothing.
 func newGuard() *confine.Guard { return confine.New(clock.System{}, func(confine.Panic) {}) }
 
@@ -53,7 +57,7 @@
 		_ = listener.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 		defer cancel()
-		s.Stop(ctx)
+		s.Stop(ctx, errTestStop)
 	})
 	return &testServer{s, listener.Addr().String()}
 }
@@ -250,7 +254,7 @@
 	<-begun
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
-	s.Stop(ctx)
+	s.Stop(ctx, errTestStop)
 	if _, got := readAnswer(t, bufio.NewReader(busy)); got != "whole" {
 		t.Errorf("got %q, want the whole answer", got)
 	}
@@ -311,6 +315,41 @@
 	}
 }
 
+// TestStopAnswersWhatItCancels guards against connections that are cut without an answer
+// when the time to stop is over.
+func TestStopAnswersWhatItCancels(t *testing.T) {
+	begun := make(chan struct{}, 3)
+	s := startServer(t, func(ctx context.Context, _ *Call) Reply {
+		begun <- struct{}{}
+		<-ctx.Done()
+		return textReply(context.Cause(ctx).Error())
+	})
+	single, pipelined := s.dial(t), s.dial(t)
+	_, _ = io.WriteString(single, get("/1"))
+	_, _ = io.WriteString(pipelined, get("/2")+get("/3"))
+	for range 3 {
+		<-begun
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if got, want := s.Stop(ctx, errTestStop), 3; got != want {
+		t.Errorf("got %d calls cancelled, want %d", got, want)
+	}
+	for _, conn := range []net.Conn{single, pipelined} {
+		in := bufio.NewReader(conn)
+		response, got := readAnswer(t, in)
+		for conn == pipelined && !response.Close {
+			response, got = readAnswer(t, in)
+		}
+		if want := errTestStop.Error(); got != want || !response.Close {
+			t.Errorf("got %q, closing %v, want %q and true", got, response.Close, want)
+		}
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("got %v after the last answer, want %v", err, io.EOF)
+		}
+	}
+}
+
 // TestStopAnswersWhatHasArrived stops the server just after clients have sent a request
 // on connections that were idle. A request whose bytes had arrived must be answered.
 func TestStopAnswersWhatHasArrived(t *testing.T) {
@@ -335,7 +374,7 @@
 		}
 		requests.Wait()
 		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
-		s.Stop(ctx)
+		s.Stop(ctx, errTestStop)
 		cancel()
 		for _, conn := range conns {
 			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -68,13 +68,18 @@
 	c.server.guard.Run(taskConnection, c.readRequests)
 	close(c.queue)
 	writer.Wait()
-	if c.ctx.Err() == nil {
+	if !c.disconnected() {
 		c.linger()
 	}
 	c.cancel(ErrClientDisconnected)
 	_ = c.conn.Close()
 }
 
+// disconnected reports whether the client has disconnected.
+func (c *serverConn) disconnected() bool {
+	return errors.Is(context.Cause(c.ctx), ErrClientDisconnected)
+}
+
 // startRequest counts an arriving request, unless no request may follow.
 func (c *serverConn) startRequest() bool {
 	c.mu.Lock()
--- a/internal/transport/http1/serverwriter.go
+++ b/internal/transport/http1/serverwriter.go
@@ -31,7 +31,7 @@
 
 // writeAnswer writes one answer and reports whether that succeeded.
 func (c *serverConn) writeAnswer(x *exchange, reply Reply) bool {
-	if reply.Abort || c.ctx.Err() != nil {
+	if reply.Abort || c.disconnected() {
 		return false
 	}
 	last := c.closesAfter(x)
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -41,6 +42,9 @@
 	// noUpstreamRetryDelay applies when no upstream may serve the request; one may be
 	// back after it.
 	noUpstreamRetryDelay = 500 * time.Millisecond
+	// stoppingRetryDelay applies when this host stops. Other hosts serve; the delay spreads
+	// the clients that come to them at once.
+	stoppingRetryDelay = 100 * time.Millisecond
 )
 
 // minRemaining is the minimum remaining time with which a request is sent; no
@@ -51,7 +55,7 @@
 // the answer, or no further attempt is allowed or possible.
 func (d *dispatch[A]) execute(ctx context.Context) Decision[A] {
 	if !d.route.Retryable() && !d.awaitEarlier(ctx) {
-		return d.finish(ClientLeft, ReasonClientLeft, 0)
+		return d.interrupted(ctx)
 	}
 	d.service = d.chooseTarget(d.route.Targets)
 	d.decision.Service = d.service
@@ -61,7 +65,7 @@
 		remaining := d.deadline.Sub(now)
 		d.decision.Remaining = remaining
 		if ctx.Err() != nil {
-			return d.finish(ClientLeft, ReasonClientLeft, 0)
+			return d.interrupted(ctx)
 		}
 		if remaining < minRemaining {
 			return d.deadlinePassed()
@@ -231,11 +235,11 @@
 		// The report leaves out this request, which still counts as in flight here.
 		u.RecordReport(e.Running+1, e.Waiting, now)
 	}
-	clientLeft := ctx.Err() != nil && context.Cause(ctx) != errDeadline
+	interrupted := ctx.Err() != nil && context.Cause(ctx) != errDeadline
 	switch {
-	case clientLeft && e.Result == NoAnswer:
+	case interrupted && e.Result == NoAnswer:
 		// Says nothing about the upstream, but may count against its release.
-	case clientLeft && e.Result != Answered:
+	case interrupted && e.Result != Answered:
 		return
 	case e.Result == Answered:
 		c.RecordAnswer(elapsed, now)
@@ -261,7 +265,7 @@
 	switch {
 	case e.Result == AnsweredFailure:
 		outcome = release.Failed
-	case clientLeft && e.Result == NoAnswer && !d.waitedFully(now):
+	case interrupted && e.Result == NoAnswer && !d.waitedFully(now):
 		outcome = release.Abandoned
 	case e.Result == NoAnswer, e.Result == AnsweredTimeout:
 		latency, outcome = max(latency, d.route.Timeout), release.Unanswered
@@ -295,7 +299,7 @@
 	retry := (notRun || d.route.Retryable()) && d.mayRetry(e.Result)
 	switch {
 	case ctx.Err() != nil:
-		return d.finish(ClientLeft, ReasonClientLeft, 0), true
+		return d.interrupted(ctx), true
 	case retry:
 		return d.decision, false
 	case e.Result == AnsweredFailure || e.Result == AnsweredTimeout:
@@ -331,6 +335,18 @@
 	}
 }
 
+// interrupted ends a request whose context has ended before its deadline: the client has
+// left, or the host stops.
+func (d *dispatch[A]) interrupted(ctx context.Context) Decision[A] {
+	switch {
+	case !errors.Is(context.Cause(ctx), ErrHostStopping):
+		return d.finish(ClientLeft, ReasonClientLeft, 0)
+	case d.mayHaveRun:
+		return d.finish(Failed, ReasonStopping, 0)
+	}
+	return d.finish(Refused, ReasonStopping, stoppingRetryDelay)
+}
+
 // deadlinePassed ends a request that has too little time for another attempt.
 func (d *dispatch[A]) deadlinePassed() Decision[A] {
 	if d.mayHaveRun {
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -111,12 +111,13 @@
 	ReasonDeadline    Reason = "deadline"
 	ReasonLost        Reason = "answer_lost"
 	ReasonClientLeft  Reason = "client_left"
+	ReasonStopping    Reason = "host_stopping"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonNone, ReasonNoState, ReasonPaused, ReasonNoRoute, ReasonKey, ReasonQuota, ReasonFull, ReasonNoUpstream, ReasonShed, ReasonUnreachable,
-	ReasonDeadline, ReasonLost, ReasonClientLeft,
+	ReasonDeadline, ReasonLost, ReasonClientLeft, ReasonStopping,
 }
 
 // Outcome is how the handling of a request ended.
@@ -353,6 +354,10 @@
 	return (*s.retryLimits.Load())[service]
 }
 
-// errDeadline is the cause of a context that ended at the deadline, as opposed to
-// one that ended because the client left.
+// ErrHostStopping is the cause of the context of a request that must end because the host
+// stops. A context that ends with another cause, and not at the deadline, means that the
+// client has left.
+var ErrHostStopping = errors.New("the host stops")
+
+// errDeadline is the cause of a context that ended at the deadline.
 var errDeadline = errors.New("the request's deadline has passed")
--- a/pkg/coordination/steer/steer_test.go
+++ b/pkg/coordination/steer/steer_test.go
@@ -272,6 +272,30 @@
 	}
 }
 
+// TestStoppingHostAnswersTruthfully guards against a stopping host that leaves a request
+// without an answer, or says of one that an upstream has received that it has not run.
+func TestStoppingHostAnswersTruthfully(t *testing.T) {
+	var out strings.Builder
+	for _, path := range []string{"/look/1", "/swap/1"} {
+		for _, c := range []struct {
+			name   string
+			script []Result
+			// sends is the number of exchanges before the host stops.
+			sends int
+		}{{"before it is sent", nil, 0}, {"at an upstream", []Result{NoAnswer}, 1}, {"after a refusal", []Result{Shed}, 1}, {"as the answer arrives", nil, 1}} {
+			f := newFixture(c.script...)
+			ctx, stop := context.WithCancelCause(context.Background())
+			if c.sends == 0 {
+				stop(ErrHostStopping)
+			}
+			f.sender.onSend = func() { stop(ErrHostStopping) }
+			d := f.Serve(ctx, f.request(path, "k"))
+			fmt.Fprintf(&out, "%s %-22s %-9s sends %d, reason %q, retry after %v\n", path, c.name, outcomeNames[d.Outcome], len(f.sender.sent), d.Reason, d.RetryAfter > 0)
+		}
+	}
+	golden.Check(t, "stopping.golden", []byte(out.String()))
+}
+
 func TestClientThatLeftIsNotServed(t *testing.T) {
 	f := newFixture(NoAnswer)
 	ctx, cancel := context.WithCancel(context.Background())
