--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -54,13 +54,16 @@
 }
 
 // startDeployment starts a host with the platform's usual bounds, of which bounds replaces
-// some.
-func startDeployment(t *testing.T, bounds map[string]float64) *testDeployment {
+// some. Each of prepare is called with the store before the host starts.
+func startDeployment(t *testing.T, bounds map[string]float64, prepare ...func(*standin.Store)) *testDeployment {
 	t.Helper()
 	d := &testDeployment{t: t, store: standin.NewStore()}
 	if err := d.store.PutDesired(testDesired()); err != nil {
 		t.Fatal(err)
 	}
+	for _, f := range prepare {
+		f(d.store)
+	}
 	store := httptest.NewServer(d.store.Handler("a"))
 	t.Cleanup(store.Close)
 	h := standin.HostSettings{
@@ -134,7 +137,14 @@
 
 // get sends a request on a new connection and returns the status, or 0 without an answer.
 func (d *testDeployment) get(path string, attempt id.Attempt) int {
-	r, err := http.NewRequest(http.MethodGet, "http://"+d.address+path, nil)
+	return d.getWithin(startTimeout, path, attempt)
+}
+
+// getWithin is like get, for a client that waits for a limited time.
+func (d *testDeployment) getWithin(timeout time.Duration, path string, attempt id.Attempt) int {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.address+path, nil)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -43,6 +43,8 @@
 type entry struct {
 	info      fleet.Upstream
 	coldUntil clock.Instant
+	// implausible is set once it has been logged that the entry is not used.
+	implausible bool
 	// lapsed is set if the row was deleted but the entry is kept until expiresAt.
 	lapsed    bool
 	expiresAt clock.Instant
@@ -150,7 +152,7 @@
 	coldSenders := l.host.roster.ColdSenders(now)
 	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
 		e := l.entries[key]
-		if l.evacuated[e.info.FailureDomain] {
+		if l.evacuated[e.info.FailureDomain] || !l.checkPlausible(key, e) {
 			continue
 		}
 		listing := place.Listing{Info: e.info, ColdUntil: e.coldUntil}
@@ -168,6 +170,26 @@
 	return out
 }
 
+// checkPlausible reports whether an upstream can have the slots that its row states: each
+// request has a connection of its own, and the desired state bounds those. A row with
+// more slots would draw the requests of all other upstreams.
+func (l *upstreamList) checkPlausible(key string, e entry) bool {
+	state := *l.host.state.Load()
+	if state == nil {
+		return true
+	}
+	s := state.Service(e.info.Service)
+	if s == nil || s.MaxConnections <= 0 || e.info.Slots <= s.MaxConnections {
+		return true
+	}
+	if !e.implausible {
+		l.log.With("upstream", key).With("slots", e.info.Slots).With("max_connections", s.MaxConnections).Warn("An upstream states more slots than connections; it is not used.")
+		e.implausible = true
+		l.entries[key] = e
+	}
+	return false
+}
+
 // coldLimits returns the rate that a service's cold upstreams tolerate, how long
 // its upstreams count as cold after an evacuation, and how many hosts may send to
 // a cold upstream. Each such host may send one request at once; half of what the
--- a/internal/transport/upstream/forward.go
+++ b/internal/transport/upstream/forward.go
@@ -17,6 +17,7 @@
 	"celerypin.example/celerypin/pkg/coordination/pick"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/unit"
 )
 
 // Errors of an exchange with an upstream.
@@ -274,11 +275,18 @@
 // defaultRetryAfter is the backoff after an answer that sheds load and names none.
 const defaultRetryAfter = 200 * time.Millisecond
 
-// retryAfter returns the backoff that the Retry-After header asks for, at most a minute.
+// maxRetryAfter is the longest backoff that an upstream can ask for.
+const maxRetryAfter = time.Minute
+
+// retryAfter returns the backoff that the Retry-After header asks for, at most maxRetryAfter.
 func retryAfter(h http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
 	if err != nil || seconds <= 0 {
 		return defaultRetryAfter
 	}
-	return min(time.Duration(seconds*float64(time.Second)), time.Minute)
+	d, err := unit.FromSeconds(seconds, maxRetryAfter)
+	if err != nil {
+		return maxRetryAfter
+	}
+	return d
 }
