Check the rollout records and rows of hosts that are read from the store

A rollout record with step -5 made the control loop of every host panic in each step, so that all hosts would have left within seconds of an order.

Cause: a record was decoded without checks, and its step is an index. Rows of hosts were taken with any address and capacity, too.

Change: both are checked where they are decoded. The last sound record stays in force, and the leader's next write replaces the invalid row by its version; a host's invalid row is left out.

Tests: edge TestInvalidRolloutRecordIsReplaced, before: panic, index out of range [-4]; TestInvalidMemberRowIsNotUsed.

--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -272,9 +273,14 @@
 			c.setRegistered(false)
 		}
 	case strings.HasPrefix(row.Key, releasePrefix) && !row.Deleted:
-		var r rollout.Record
-		if err := json.Unmarshal(row.Value, &r); err != nil {
-			c.log.With("error", err.Error()).Error("A rollout record could not be decoded.")
+		service := id.Service(strings.TrimPrefix(row.Key, releasePrefix))
+		r, err := decodeRecord(service, row.Value)
+		if err != nil {
+			c.log.With("key", row.Key).With("error", err.Error()).Error("A rollout record is invalid; the last one stays in force.")
+			// The next write replaces the invalid row, so it needs that row's version.
+			last := c.records[service]
+			last.Service, last.Version = service, row.Version
+			c.records[service] = last
 			return
 		}
 		r.Version = row.Version
@@ -283,3 +289,15 @@
 			With("state", r.Change.State).With("reason", r.Change.Reason).Info("Rollout changed.")
 	}
 }
+
+// decodeRecord decodes and checks the rollout record of a service.
+func decodeRecord(service id.Service, data []byte) (rollout.Record, error) {
+	var r rollout.Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, err
+	}
+	if r.Service != service {
+		return r, fmt.Errorf("%w: got service %.100q in the row of %q", rollout.ErrInvalid, r.Service, service)
+	}
+	return r, r.Validate()
+}
--- /dev/null
+++ b/internal/edge/coordination_rows_test.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"celerypin.example/celerypin/pkg/coordination/rollout"
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+	"celerypin.example/celerypin/pkg/state/table"
+	"celerypin.example/celerypin/platform"
+)
+
+// TestInvalidRolloutRecordIsReplaced guards against a control loop that panics in each step
+// because of a record that another writer left, and against a rollout that stops there.
+func TestInvalidRolloutRecordIsReplaced(t *testing.T) {
+	for _, odd := range []string{
+		`{"service":"desk","current":"v1","order":3,"step":-5,"change":{"service":"desk","old":"v1","new":"v2","share":90,"state":"growing"}}`,
+		`{"service":"desk","current":"v1","order":3,"step":3,"change":{"service":"desk","old":"v1","new":"v2","share":5000,"state":"growing"}}`,
+		`{"service":"other","current":"v1","order":3,"step":1,"change":{"service":"other","old":"v1","new":"v2","share":90,"state":"growing"}}`,
+		strings.Repeat("[", 60000),
+	} {
+		c := clock.NewFake()
+		h := newTestHost(t, c)
+		order, err := json.Marshal(map[string]any{"service": "desk", "to": "v2", "overS": 8})
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.copies.add(platform.Operator, []mirror.Row{{Key: "rollout/desk", Value: order, Version: 3}})
+		h.copies.add(platform.Coordination, []mirror.Row{{Key: releasePrefix + "desk", Value: []byte(odd), Version: 7}})
+		for range 30 {
+			c.Advance(tickInterval)
+			h.controller.step(context.Background(), c.Now())
+		}
+		releases := func(id.Service) map[id.Release]int { return map[id.Release]int{"v1": 3, "v2": 3} }
+		orders := []rollout.Order{h.controller.orders["desk"]}
+		writes := h.controller.rollouts.Decide(rollout.Input{Orders: orders, Records: h.controller.records, Releases: releases, Leader: true}, c.Now())
+		if len(writes) != 1 || writes[0].Record.Version != 7 || writes[0].Record.Change.State != table.ReleaseGrowing {
+			t.Errorf("record %.60s: got writes %+v, want one that replaces version 7", odd, writes)
+		}
+	}
+}
+
+// TestInvalidMemberRowIsNotUsed guards against hosts that connect to, or name to clients,
+// an address that nobody can have.
+func TestInvalidMemberRowIsNotUsed(t *testing.T) {
+	const valid = `{"host":"b","region":"r","failure_domain":"d","caller_address":"10.0.0.2:80","peer_address":"10.0.0.2:81","capacity_per_s":50,"incarnation":1}`
+	if _, err := decodeMember("host/b", []byte(valid)); err != nil {
+		t.Fatalf("got %v for a valid row, want none", err)
+	}
+	for _, c := range []struct{ key, old, new string }{
+		{"host/c", "", ""}, {"host/b", `"r"`, `""`}, {"host/b", "10.0.0.2:80", "10.0.0.2:70000"}, {"host/b", "10.0.0.2:81", "nowhere"},
+		{"host/b", "50", "-1"}, {"host/b", "50", "1e400"}, {"host/b", "50", strings.Repeat("[", 60000)}, {"host/b", `"incarnation":1`, `"incarnation":-1`},
+	} {
+		if _, err := decodeMember(c.key, []byte(strings.Replace(valid, c.old, c.new, 1))); err == nil {
+			t.Errorf("key %s, %.20q in place of %q: got no error, want one", c.key, c.new, c.old)
+		}
+	}
+}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
 	"strings"
 
 	"celerypin.example/celerypin/pkg/coordination/roster"
@@ -24,6 +27,44 @@
 	Incarnation id.Incarnation `json:"incarnation"`
 }
 
+// errInvalidMember means that a host's row cannot have been written by that host.
+var errInvalidMember = errors.New("invalid row of a host")
+
+// decodeMember decodes and checks the row of a host.
+func decodeMember(key string, data []byte) (memberRow, error) {
+	var m memberRow
+	if err := json.Unmarshal(data, &m); err != nil {
+		return m, fmt.Errorf("%w: %w", errInvalidMember, err)
+	}
+	invalid := func(field string, got any) (memberRow, error) {
+		return m, fmt.Errorf("%w: field %s: got %.100s", errInvalidMember, field, fmt.Sprint(got))
+	}
+	switch {
+	case m.Host == "" || key != hostPrefix+string(m.Host):
+		return invalid("host", m.Host)
+	case m.Region == "":
+		return invalid("region", m.Region)
+	case m.FailureDomain == "":
+		return invalid("failure_domain", m.FailureDomain)
+	case !isAddress(m.CallerAddress):
+		return invalid("caller_address", m.CallerAddress)
+	case m.PeerAddress != "" && !isAddress(m.PeerAddress):
+		return invalid("peer_address", m.PeerAddress)
+	case m.Capacity < 0 || m.Capacity > maxCapacity:
+		return invalid("capacity_per_s", m.Capacity)
+	}
+	return m, nil
+}
+
+// maxCapacity is far above the rate of requests that one host can take.
+const maxCapacity unit.PerSecond = 1e9
+
+// isAddress reports whether s is an IP address with a port to which one can connect.
+func isAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified()
+}
+
 // applyMembers updates the roster and the mesh with the hosts of the coordination
 // table.
 func (c *controller) applyMembers() {
@@ -32,9 +73,9 @@
 		if !strings.HasPrefix(key, hostPrefix) {
 			continue
 		}
-		var m memberRow
-		if err := json.Unmarshal(row.Value, &m); err != nil {
-			c.log.With("key", key).With("error", err.Error()).Error("A host's row could not be decoded.")
+		m, err := decodeMember(key, row.Value)
+		if err != nil {
+			c.log.With("key", key).With("error", err.Error()).Error("A host's row is invalid.")
 			continue
 		}
 		member := roster.Member{PeerAddress: m.PeerAddress, Incarnation: m.Incarnation}
--- a/internal/edge/odd_rows_test.go
+++ b/internal/edge/odd_rows_test.go
@@ -63,4 +63,3 @@
 		d.host.Stop()
 	}
 }
-
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -107,7 +107,7 @@
 // its rollout record or, without a record, the release of most upstreams.
 func (c *controller) chooseApproved(service id.Service) id.Release {
 	r, known := c.records[service]
-	if known {
+	if known && r.Current != "" {
 		return r.Current
 	}
 	mostDeployed := rollout.MostDeployed(c.host.placer.Releases(service), c.orders[service].To)
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -39,6 +41,35 @@
 	Version mirror.Version `json:"-"`
 }
 
+// ErrInvalid means that a record cannot have been written by a Controller.
+var ErrInvalid = errors.New("invalid rollout record")
+
+// Validate returns an error that names the field if the record cannot have been written
+// by a Controller. Rows are written by other hosts, some with other versions of this
+// program.
+func (r *Record) Validate() error {
+	invalid := func(field string, got any) error {
+		return fmt.Errorf("%w: service %.100q: field %s: got %.100s", ErrInvalid, r.Service, field, fmt.Sprint(got))
+	}
+	switch {
+	case r.Service == "":
+		return invalid("service", r.Service)
+	case r.Current == "":
+		return invalid("current", r.Current)
+	case r.Step < 0 || r.Step >= len(stepShares):
+		return invalid("step", r.Step)
+	case r.Change.Service != r.Service:
+		return invalid("change.service", r.Change.Service)
+	case r.Change.New == "":
+		return invalid("change.new", r.Change.New)
+	case r.Change.Share < 0 || r.Change.Share > table.Whole:
+		return invalid("change.share", r.Change.Share)
+	case r.Change.State != table.ReleaseGrowing && r.Change.State != table.ReleaseDone && r.Change.State != table.ReleaseRetreated:
+		return invalid("change.state", r.Change.State)
+	}
+	return nil
+}
+
 // Write is a record to be committed if its row still has Version.
 type Write struct {
 	Record Record
@@ -151,6 +182,8 @@
 
 func (c *Controller) decideOrder(o Order, in Input, now clock.Instant) (Write, bool) {
 	r, hasRecord := in.Records[o.Service]
+	// A record that holds only its version takes the place of an invalid row.
+	hasRecord = hasRecord && r.Current != ""
 	if !hasRecord || r.OrderVersion != o.Version {
 		return c.begin(o, r, hasRecord, in.Releases(o.Service))
 	}
