Refuse messages of hosts with numbers that are not finite

A demand or a rate that is not a number, in one host's digest or a hub's bulletin, spread to every sum over the fleet: the division of quotas and of regions. No such message was seen; found while bounding what is decoded.

Change: gossip.Codec refuses a message with a number that is not finite or far above the rate of the whole fleet, and decodes negative ones as 0, as sums may be rounded below it.

--- a/internal/protocol/gossip/bulletin.go
+++ b/internal/protocol/gossip/bulletin.go
@@ -64,7 +64,7 @@
 	for _, n := range b.Notices {
 		out.Notices = append(out.Notices, roster.Notice{
 			Host: n.Host, Incarnation: n.Incarnation, Age: time.Duration(n.AgeMS) * time.Millisecond,
-			Leaving: n.Leaving, ReadsFailing: n.ReadsFailing, RequestRate: float64(n.RequestRate),
+			Leaving: n.Leaving, ReadsFailing: n.ReadsFailing, RequestRate: positive(n.RequestRate),
 			ReleaseCounts: outcomesFromWire(n.Outcomes), BadReleases: releasesFromWire(n.BadReleases),
 		})
 	}
@@ -92,9 +92,9 @@
 
 func totalsFromWire(t totals) quota.Totals {
 	out := quota.NewTotals()
-	out.Weight, out.Unreported, out.Stale = float64(t.Weight), float64(t.Unreported), t.Stale
+	out.Weight, out.Unreported, out.Stale = positive(t.Weight), positive(t.Unreported), t.Stale
 	for _, a := range t.Accounts {
-		out.Demand[a.Account], out.Part[a.Account], out.Silent[a.Account] = float64(a.Demand), float64(a.Part), float64(a.Silent)
+		out.Demand[a.Account], out.Part[a.Account], out.Silent[a.Account] = positive(a.Demand), positive(a.Part), positive(a.Silent)
 	}
 	return out
 }
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -144,6 +144,9 @@
 	if err != nil {
 		return "", "", m, fmt.Errorf("message of a host: %w", err)
 	}
+	if err := e.check(); err != nil {
+		return e.From, e.To, m, fmt.Errorf("message of host %q: %w", e.From, err)
+	}
 	if e.Digest != nil {
 		m.Digest = digestFromWire(e.From, e.Digest)
 	}
@@ -236,8 +239,8 @@
 func digestFromWire(from id.Host, d *digest) *roster.Digest {
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
-		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address, Capacity: d.Capacity},
-		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float64(d.RequestRate),
+		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address, Capacity: max(d.Capacity, 0)},
+		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: positive(d.RequestRate),
 		CopyAges:      map[string]time.Duration{},
 		Quota:         quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		ReleaseCounts: outcomesFromWire(d.Outcomes), BadReleases: releasesFromWire(d.BadReleases),
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -148,3 +149,27 @@
 		}
 	})
 }
+
+// TestNumbersOutOfRangeAreRefused guards against a number that is not finite, which would
+// spread to the sums over all hosts.
+func TestNumbersOutOfRangeAreRefused(t *testing.T) {
+	for _, value := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e30} {
+		poisoned := quota.NewTotals()
+		poisoned.Demand["choir"] = value
+		for name, m := range map[string]Message{
+			"rate of a digest":   {Digest: &roster.Digest{RequestRate: value}},
+			"demand of a digest": {Digest: &roster.Digest{Quota: quota.Report{Demand: map[id.Account]float64{"choir": value}}}},
+			"part of a digest":   {Digest: &roster.Digest{Quota: quota.Report{Part: map[id.Account]float64{"choir": value}}}},
+			"rate of a notice":   {Bulletin: &roster.Bulletin{Notices: []roster.Notice{{Host: "b", RequestRate: value}}}},
+			"demand of a region": {Bulletin: &roster.Bulletin{Totals: map[id.Region]quota.Totals{"west": poisoned}}},
+		} {
+			data, err := Codec{}.Encode("a", "b", m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, _, _, err := (Codec{}).Decode(data); !errors.Is(err, ErrRange) {
+				t.Errorf("%s of %g: got error %v, want ErrRange", name, value, err)
+			}
+		}
+	}
+}
