Pass on no status that promises more than the upstream says

A client that is answered 408, 429 or 503 repeats its request, because it has not run. An upstream that ran one and answered so, with its MAC and without the header that says "not run", had its answer passed on.

Change: such an answer counts as none: another upstream if the request may be repeated, else 502.

--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -25,6 +25,10 @@
 // errUnauthentic means that an answer does not prove that it comes from an upstream.
 var errUnauthentic = errors.New("the answer lacks the upstream's MAC")
 
+// errUnmarkedRefusal means that an upstream answered with a status that promises clients
+// that the request has not run, without saying so itself.
+var errUnmarkedRefusal = errors.New("the upstream refused the request without saying that it has not run")
+
 // Send implements steer.Sender.
 func (s *sender) Send(ctx context.Context, r *steer.Request, p steer.SendParams) steer.Exchange[*http1.Answer] {
 	call := ctx.Value(callKey{}).(*http1.Call)
@@ -96,6 +100,8 @@
 		e.Result = steer.Shed
 	case !head.Authentic:
 		e.Result, e.Err = steer.NoAnswer, errUnauthentic
+	case platform.PromisesNotRun(a.Status):
+		e.Result, e.Err = steer.NoAnswer, errUnmarkedRefusal
 	case a.Status == http.StatusGatewayTimeout:
 		e.Result = steer.AnsweredTimeout
 	case a.Status >= http.StatusInternalServerError:
--- a/internal/transport/http1/pool_test.go
+++ b/internal/transport/http1/pool_test.go
@@ -155,6 +155,26 @@
 	}
 }
 
+// TestAnswerCutAnywhereIsIncomplete guards against an answer that looks whole although its
+// upstream closed in the middle of its head or of its framed body.
+func TestAnswerCutAnywhereIsIncomplete(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 12\r\n\r\nhello world\n",
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nAttempt: 1\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n",
+	} {
+		for cut := range len(whole) {
+			u := newUpstream(t, answerEach(whole[:cut]))
+			if answer, err := do(t, newPool(), u, newRequest("1")); !errors.Is(err, ErrNoAnswer) {
+				t.Errorf("%q: got answer %+v, error %v, want %v", whole[:cut], answer, err, ErrNoAnswer)
+			}
+		}
+	}
+}
+
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
 	rawAnswer := "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\nall of it"
 	t.Run("closed", func(t *testing.T) {
--- a/internal/transport/http1/server_test.go
+++ b/internal/transport/http1/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -303,6 +304,31 @@
 	golden.Check(t, "rejected.golden", []byte(out.String()))
 }
 
+// TestRequestCutAnywhereIsNotHandled guards against a request that is handled although its
+// client closed in the middle of it.
+func TestRequestCutAnywhereIsNotHandled(t *testing.T) {
+	var handled atomic.Int64
+	s := startServer(t, func(context.Context, *Call) Reply {
+		handled.Add(1)
+		return textReply("")
+	})
+	for _, whole := range []string{
+		get("/"),
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		for cut := range len(whole) {
+			conn := s.dial(t)
+			_, _ = io.WriteString(conn, whole[:cut])
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_, _ = io.ReadAll(conn)
+			if got := handled.Swap(0); got != 0 {
+				t.Errorf("%q: got it handled, want it refused", whole[:cut])
+			}
+		}
+	}
+}
+
 func TestIdleConnectionIsClosedAfterTheLimit(t *testing.T) {
 	s := startServer(t, func(context.Context, *Call) Reply { return textReply("") })
 	conn := s.dial(t)
