Give the body of a request one reader at a time

Cause: BodyReader.Close stopped nobody. Pool's goroutine went on reading the client's bufio.Reader while awaitAnswer and linger read from it, and linger set a new deadline in place of the one that should have stopped it.

Change: Close ends a read in progress, waits for it, and makes later reads fail; the connection's goroutine continues after that. The goroutines that discard a client's bytes, write answers and finish a late body run under the guard, and a panic of the writing one leaves no request without an end.

--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -266,7 +266,11 @@
 		}
 		p.putIdle(key, c)
 	default:
-		go p.finishAfterBody(key, c, written)
+		go func() {
+			if !p.guard.Run(taskBody, func() { p.finishAfterBody(key, c, written) }) {
+				_ = c.Close()
+			}
+		}()
 	}
 }
 
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -27,6 +27,8 @@
 	cancel  context.CancelCauseFunc
 	queue   chan *exchange
 	lastUse atomic.Int64
+	// failed is set once an answer could not be written. The writing goroutine uses it.
+	failed bool
 
 	mu sync.Mutex
 	// pending counts the requests that have begun to arrive and are unanswered.
@@ -63,7 +65,12 @@
 
 func (c *serverConn) run() {
 	var writer sync.WaitGroup
-	writer.Go(c.writeAnswers)
+	writer.Go(func() {
+		// After a panic the other requests still end, although without an answer.
+		for !c.server.guard.Run(taskAnswer, c.writeAnswers) {
+			c.abort()
+		}
+	})
 	// After a panic no further request is read; the earlier ones are still answered.
 	c.server.guard.Run(taskConnection, c.readRequests)
 	close(c.queue)
@@ -148,22 +155,27 @@
 	_ = c.conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(watchDone)
-		for {
-			if _, err := c.in.Peek(1); err == nil {
-				// The client is still connected and has sent bytes that are ignored.
-				_, _ = c.in.Discard(c.in.Buffered())
-				continue
-			} else if !errors.Is(err, os.ErrDeadlineExceeded) {
-				c.cancel(ErrClientDisconnected)
-			}
-			return
-		}
+		c.server.guard.Run(taskConnection, c.discardInput)
 	}()
 	<-x.answered
 	c.stopReading()
 	<-watchDone
 }
 
+// discardInput discards what the client sends, until reading is stopped or the client
+// disconnects.
+func (c *serverConn) discardInput() {
+	for {
+		if _, err := c.in.Peek(1); err == nil {
+			_, _ = c.in.Discard(c.in.Buffered())
+			continue
+		} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cancel(ErrClientDisconnected)
+		}
+		return
+	}
+}
+
 // awaitRequest waits for the first byte of a request.
 func (c *serverConn) awaitRequest() bool {
 	for {
@@ -234,6 +246,7 @@
 	}
 	c.dispatch(x)
 	if x.call.Rest != nil {
+		// Until then, the connection belongs to the goroutine that forwards the body.
 		<-x.call.Rest.done
 	}
 	return x, true
@@ -270,6 +283,7 @@
 		return true
 	}
 	x.call.Rest = newBodyReader(body)
+	x.call.Rest.interrupt = c.stopReading
 	return true
 }
 
--- a/internal/transport/http1/serverwriter.go
+++ b/internal/transport/http1/serverwriter.go
@@ -7,28 +7,38 @@
 	"time"
 )
 
-// writeAnswers writes the answers in the order of their requests.
+// writeAnswers writes the answers in the order of their requests, until the queue is closed.
 func (c *serverConn) writeAnswers() {
-	failed := false
 	for x := range c.queue {
-		reply := <-x.reply
-		written := false
-		if !failed {
-			c.server.guard.Run(taskAnswer, func() { written = c.writeAnswer(x, reply) })
-		}
-		if !failed && !written {
-			failed = true
-			c.cancel(ErrClientDisconnected)
-			_ = c.conn.Close()
-		}
-		if reply.Rest != nil {
-			reply.Rest.Close()
-		}
-		c.finishRequest()
-		close(x.answered)
+		c.finish(x)
+	}
+}
+
+// finish waits for the reply to a request and writes it, unless an earlier answer failed.
+func (c *serverConn) finish(x *exchange) {
+	defer close(x.answered)
+	defer c.finishRequest()
+	reply := <-x.reply
+	if reply.Rest != nil {
+		defer reply.Rest.Close()
+	}
+	if c.failed {
+		return
+	}
+	written := false
+	c.server.guard.Run(taskAnswer, func() { written = c.writeAnswer(x, reply) })
+	if !written {
+		c.abort()
 	}
 }
 
+// abort closes the connection, on which no further answer can be written.
+func (c *serverConn) abort() {
+	c.failed = true
+	c.cancel(ErrClientDisconnected)
+	_ = c.conn.Close()
+}
+
 // writeAnswer writes one answer and reports whether that succeeded.
 func (c *serverConn) writeAnswer(x *exchange, reply Reply) bool {
 	if reply.Abort || c.disconnected() {
--- a/internal/transport/http1/stream.go
+++ b/internal/transport/http1/stream.go
@@ -35,17 +35,30 @@
 	return n, err
 }
 
-// BodyReader reads the part of a body that is forwarded while it arrives. Close may
-// be called more than once.
+// ErrBodyClosed is returned by reads of a body that was closed before it was complete.
+var ErrBodyClosed = errors.New("the body was closed")
+
+// BodyReader reads the part of a body that is forwarded while it arrives. One goroutine
+// reads it at a time; Close may be called by another one, and more than once.
+//
+// The connection belongs to the goroutine that reads the body until Close returns. Close
+// therefore ends a read that is in progress and waits for it, and later reads fail without
+// touching the connection.
 type BodyReader struct {
 	in       io.ReadCloser
 	done     chan struct{}
 	once     sync.Once
 	complete atomic.Bool
-	onClose  func(complete bool)
+	// interrupt, if set, makes a read in progress return at once.
+	interrupt func()
+	onClose   func(complete bool)
 	// onFailure, if set, is called with the first error that makes the body incomplete.
 	onFailure func(error)
 	failed    atomic.Bool
+
+	// reading is held during each read.
+	reading sync.Mutex
+	closed  atomic.Bool
 }
 
 func newBodyReader(in io.ReadCloser) *BodyReader {
@@ -54,6 +67,11 @@
 
 // Read reads the next part. Any error but io.EOF means that the body is incomplete.
 func (r *BodyReader) Read(p []byte) (int, error) {
+	r.reading.Lock()
+	defer r.reading.Unlock()
+	if r.closed.Load() {
+		return 0, ErrBodyClosed
+	}
 	n, err := r.in.Read(p)
 	if errors.Is(err, io.EOF) {
 		r.complete.Store(true)
@@ -63,9 +81,16 @@
 	return n, err
 }
 
-// Close stops reading, whether or not the body is complete.
+// Close stops reading, whether or not the body is complete. When it returns, no read is
+// in progress and none will reach the connection.
 func (r *BodyReader) Close() {
 	r.once.Do(func() {
+		r.closed.Store(true)
+		if r.interrupt != nil {
+			r.interrupt()
+		}
+		r.reading.Lock()
+		defer r.reading.Unlock()
 		if r.onClose != nil {
 			r.onClose(r.complete.Load())
 		}
