Take an exchange's context off its connection before it is pooled

A request on a connection in use again could be cut off, when the context of the connection's previous request ended just after its answer had arrived: the connection had been pooled, and was then closed. The next client's request, already sent, got 502.

Change: the context is released before the connection can be used again, and one that ends in that moment closes it.

--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -180,26 +180,26 @@
 		p.mu.Unlock()
 		c = p.newConn(conn)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	answer, err := p.exchange(ctx, key, c, r)
-	if !stop() && err == nil && answer.Rest == nil {
-		// The context ended just as the answer arrived, so the connection is closed.
-		answer.Close = true
-	}
+	// Once the exchange has ended, the connection may be another request's.
+	reused := c.reused
+	release := context.AfterFunc(ctx, func() { _ = c.Close() })
+	answer, err := p.exchange(ctx, key, c, r, release)
 	if err != nil {
+		release()
 		_ = c.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(err, context.Cause(ctx))
 		}
 		return nil, err
 	}
-	answer.ReusedConnection = c.reused
+	answer.ReusedConnection = reused
 	return answer, nil
 }
 
 // exchange writes a request and reads its answer. A large body is written while
-// the answer is awaited.
-func (p *Pool) exchange(ctx context.Context, key string, c *poolConn, r *Request) (*Answer, error) {
+// the answer is awaited. The end of ctx closes the connection until release, which
+// reports whether it has not; it is called before the connection can be used again.
+func (p *Pool) exchange(ctx context.Context, key string, c *poolConn, r *Request, release func() bool) (*Answer, error) {
 	written := make(chan error, 1)
 	inline := r.Rest == nil && len(r.Body) <= maxInlineBodyBytes
 	if inline {
@@ -226,6 +226,11 @@
 		return nil, errors.Join(ErrNoAnswer, err)
 	}
 	reusable = reusable && !r.SingleUse
+	if !release() {
+		// The context ended just as the answer arrived.
+		reusable = false
+		answer.Close = answer.Close || answer.Rest == nil
+	}
 	if answer.Rest != nil {
 		answer.Rest.onClose = func(complete bool) { p.finish(key, c, reusable && complete, written) }
 		answer.Rest.onFailure = r.StreamFailed
--- a/internal/transport/http1/pool_test.go
+++ b/internal/transport/http1/pool_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -283,3 +285,40 @@
 		}
 	}
 }
+
+// TestEndedContextClosesNoOtherExchange guards against a request that is cut off because
+// the context of the previous request of its connection ends late.
+func TestEndedContextClosesNoOtherExchange(t *testing.T) {
+	const requests = 4000
+	u := newUpstream(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, okAnswer(r.Header.Get("Attempt"), "a"))
+		}
+	})
+	p := newPool()
+	var cut atomic.Int64
+	var running sync.WaitGroup
+	for worker := range 8 {
+		running.Go(func() {
+			for i := range requests / 8 {
+				ctx, cancel := context.WithCancel(context.Background())
+				if worker%2 == 0 {
+					// Ends at about the moment at which the answer arrives.
+					time.AfterFunc(time.Duration(i%80)*time.Microsecond, cancel)
+				}
+				if _, err := p.Do(ctx, "u", u.address(), newRequest("1")); err != nil && ctx.Err() == nil {
+					cut.Add(1)
+				}
+				cancel()
+			}
+		})
+	}
+	running.Wait()
+	if got := cut.Load(); got != 0 {
+		t.Errorf("got %d requests cut off by the context of another, want none", got)
+	}
+}
