Free no part of a quota by silence alone

Cause: the totals of a region that were older than the reservation timeout were left out of the sum, on both sides. The removal of silent hosts' rows after three minutes would have freed their parts again, in fleets of any size.

Change: after the timeout each side keeps the larger of the other's last and even part reserved for 10 s, then its even part as of the last contact. Rows of hosts are removed only while others of their failure domain are in contact.

--- a/pkg/coordination/roster/quotas.go
+++ b/pkg/coordination/roster/quotas.go
@@ -14,6 +14,9 @@
 type regionTotals struct {
 	quota.Totals
 	receivedAt clock.Instant
+	// even is the region's even part when it was last in contact. Both sides of a partition
+	// keep to it, whichever hosts join or leave on one of them.
+	even float64
 }
 
 const (
@@ -50,22 +53,36 @@
 	}
 	pooled := r.poolHolder(now) != ""
 	for region, hosts := range r.byRegion() {
+		even := 0.0
+		for _, m := range hosts {
+			even += weights[m.ID] / totalWeight
+		}
 		t, known := r.hubs.totals[region]
-		switch {
-		case !known:
-			for _, m := range hosts {
-				others.Unreported += weights[m.ID] / totalWeight
-			}
+		if !known {
+			others.Unreported += even
 			continue
-		case region == r.self.Region:
+		}
+		age := now.Sub(t.receivedAt)
+		if age < relayTimeout || t.even == 0 {
+			t.even = even
+			r.hubs.totals[region] = t
+		}
+		if region == r.self.Region {
 			t.Totals = t.Without(report, ownWeight)
 		}
-		switch age := now.Sub(t.receivedAt); {
+		switch {
 		case age < relayTimeout:
 			others.Add(t.Totals)
 			others.Stale = others.Stale || age > staleTotalsAge
 		case age < reservationTimeout:
 			others.Add(t.AsSilent())
+		case age < growthTimeout:
+			silent := t.AsSilent()
+			for _, a := range accounts {
+				others.Silent[a.ID] += max(silent.Silent[a.ID]+silent.Unreported, t.even)
+			}
+		default:
+			others.Unreported += t.even
 		}
 	}
 	peers := quota.NewPeers(others, ownWeight, ownWeight/totalWeight)
@@ -142,8 +159,12 @@
 	for _, m := range hosts {
 		h, known := r.states[m.ID]
 		switch evenPart := weights[m.ID] / totalWeight; {
-		case !known || now.Sub(h.reportedAt) >= reservationTimeout || len(h.digest.Quota.Part) == 0:
+		case !known || now.Sub(h.reportedAt) >= growthTimeout || len(h.digest.Quota.Part) == 0:
 			t.Unreported += evenPart
+		case now.Sub(h.reportedAt) >= reservationTimeout:
+			for _, a := range accounts {
+				t.Silent[a.ID] += max(h.digest.Quota.Part[a.ID], evenPart)
+			}
 		case h.isLive(now):
 			t.AddLive(h.digest.Quota, weights[m.ID])
 			t.Stale = t.Stale || now.Sub(h.reportedAt) > staleHostAge
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -71,9 +71,14 @@
 	// expiryTimeout is how long a listed host may be silent before its row is removed;
 	// the host adds its row again if it returns.
 	expiryTimeout = 3 * time.Minute
-	// reservationTimeout is how long the quota shares of a silent host stay reserved:
-	// it may still be serving behind a partition.
+	// reservationTimeout is how long the quota shares that a silent host last reported stay
+	// reserved: it may still be serving behind a partition. After it, each side of a
+	// partition goes over to the even parts, which both know.
 	reservationTimeout = 40 * time.Second
+	// growthTimeout is how long each side keeps the larger of both reserved, so that the
+	// other has reduced its parts before one grows. The sides notice a partition within
+	// relayTimeout of each other.
+	growthTimeout = reservationTimeout + 10*time.Second
 )
 
 // Roster holds the local view of all other hosts. It is safe for concurrent use.
@@ -140,17 +145,24 @@
 }
 
 // Expired returns the listed hosts that were silent for expiryTimeout and count as
-// removed. It returns none while no other host is live, because this host may be
-// the one that is partitioned, nor within expiryTimeout of its own start.
+// removed. A failure domain that is silent as a whole is cut off rather than removed: its
+// hosts may be serving, and keep their parts of quotas. Expired returns none while no
+// other host is live, because this host may be the one that is partitioned, nor within
+// expiryTimeout of its own start.
 func (r *Roster) Expired(now clock.Instant) []id.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now.Sub(r.startedAt) < expiryTimeout || len(r.live(now)) == 0 {
 		return nil
 	}
+	inContact := map[id.FailureDomain]bool{r.self.FailureDomain: true}
+	for _, d := range r.live(now) {
+		inContact[d.Host.FailureDomain] = true
+	}
 	var out []id.Host
 	for _, m := range r.members() {
-		if h, known := r.states[m.ID]; !known || now.Sub(h.reportedAt) >= expiryTimeout {
+		h, known := r.states[m.ID]
+		if silent := !known || now.Sub(h.reportedAt) >= expiryTimeout; silent && inContact[m.FailureDomain] {
 			out = append(out, m.ID)
 		}
 	}
