Stop using an upstream that says in an answer that it is leaving

A host read only its row, which may come seconds later or not at all.

Change: any head of an answer with the mark, also of one that is refused or skipped as another request's, marks the incarnation as leaving. That is remembered when its row lapses and returns, and its idle connections are closed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -173,7 +173,7 @@
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
 		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Current: h.controller.current, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
-		Sender: &sender{pool: h.pool, clock: c}, Clock: c, Random: steer.SystemRandom{},
+		Sender: &sender{pool: h.pool, clock: c, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
 	})
@@ -268,12 +268,12 @@
 }
 
 // closeUnusedConnections periodically closes idle connections to upstreams that
-// are no longer listed.
+// are leaving or no longer listed.
 func (h *Host) closeUnusedConnections(ctx context.Context) error {
 	for h.clock.Sleep(ctx, connectionCheckInterval) {
 		inUse := map[string]bool{}
 		for _, u := range h.placer.Upstreams() {
-			inUse[u.ConnectionKey()] = true
+			inUse[u.ConnectionKey()] = !u.Draining()
 		}
 		h.pool.Retain(func(key string) bool { return inUse[key] })
 		h.metrics.dialed.Update(h.pool.Dialed())
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	host  *Host
 	// address is the address for clients' requests.
 	address string
+	// sent counts the requests of sendAll.
+	sent int
 
 	mu         sync.Mutex
 	executions []standin.Execution
@@ -46,7 +49,7 @@
 	}
 	for name, kind := range map[id.Route]desired.Kind{"look": desired.Idempotent, "swap": desired.NonIdempotent, "photo": desired.Upload} {
 		s.Routes = append(s.Routes, &desired.Route{
-			Name: name, VirtualHost: testVirtualHost, Prefix: "/" + string(name) + "/", Kind: kind, Open: true, MaxAttempts: 2,
+			Name: name, VirtualHost: testVirtualHost, Prefix: "/" + string(name) + "/", Kind: kind, Open: true, Sticky: true, MaxAttempts: 2,
 			Targets: []desired.Target{{Service: "desk", Weight: 1}}, Timeout: 10 * time.Second, Objective: time.Second,
 		})
 	}
@@ -142,21 +145,38 @@
 
 // getWithin is like get, for a client that waits for a limited time.
 func (d *testDeployment) getWithin(timeout time.Duration, path string, attempt id.Attempt) int {
+	status, _ := d.send(timeout, http.MethodGet, path, attempt)
+	return status
+}
+
+// ask is like get, and returns the time after which the client is asked to come back, too.
+func (d *testDeployment) ask(path string, attempt id.Attempt) (status int, retryAfter time.Duration) {
+	return d.send(startTimeout, http.MethodGet, path, attempt)
+}
+
+// send sends a request on a new connection.
+func (d *testDeployment) send(timeout time.Duration, method, path string, attempt id.Attempt) (status int, retryAfter time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.address+path, nil)
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body")
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+d.address+path, body)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	r.Host, r.Close = testVirtualHost, true
-	r.Header.Set("Attempt-Id", string(attempt))
+	standin.SetAttempt(r.Header, attempt)
+	standin.SetObject(r.Header, id.Object(path))
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	defer response.Body.Close()
 	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return response.StatusCode, time.Duration(seconds * float64(time.Second))
 }
 
 // awaitServing waits until a request is served.
--- a/internal/edge/odd_rows_test.go
+++ b/internal/edge/odd_rows_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"celerypin.example/celerypin/pkg/state/id"
-	"celerypin.example/celerypin/platform"
 	"celerypin.example/celerypin/platform/standin"
 )
 
@@ -35,14 +34,14 @@
 		}
 	}()
 	row := func(address, slots, cold string) string {
-		return fmt.Sprintf(`{"address":%q,"info":{"service":"desk","version":"v1","zone":"e","slots":%s},"status":{"state":"ready","coldLeftS":%s},"born":1}`, address, slots, cold)
+		return string(standin.RawUpstream{Address: address, Service: "desk", Domain: "e", Slots: slots, Cold: cold, Incarnation: 1}.Value())
 	}
 	address := silent.Addr().String()
 	for _, odd := range []string{
 		row(address, "1099511627776", "0"), row(address, "65535", "0"), row(address, "101", "0"), row("127.0.0.1:70000", "16", "0"), row("127.0.0.1:0", "16", "0"),
 		row(address, "16", "1e300"), row(address, "1e400", "0"), strings.Repeat("[", 60000), "null", "",
 	} {
-		d := startDeployment(t, map[string]float64{"graceS": 0.5}, func(s *standin.Store) { s.Put(string(platform.Upstreams), "odd", []byte(odd)) })
+		d := startDeployment(t, map[string]float64{"graceS": 0.5}, func(s *standin.Store) { s.PutUpstream("odd", []byte(odd)) })
 		d.startUpstream("sound-1", "d", time.Millisecond)
 		d.startUpstream("sound-2", "d", time.Millisecond)
 		d.awaitServing()
--- a/internal/edge/refusals_test.go
+++ b/internal/edge/refusals_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +13,7 @@
 
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/platform"
+	"celerypin.example/celerypin/platform/standin"
 )
 
 // scriptedUpstream is an upstream that writes raw answers, one function call for each
@@ -23,14 +22,14 @@
 	mu  sync.Mutex
 	ran map[id.Attempt]int
 	// serve answers the n-th request of a connection, which is of the given attempt.
-	serve func(conn net.Conn, n int, attempt string)
+	serve func(conn net.Conn, n int, attempt id.Attempt)
 }
 
 // count notes that an attempt is run.
-func (u *scriptedUpstream) count(attempt string) {
+func (u *scriptedUpstream) count(attempt id.Attempt) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.ran[id.Attempt(attempt)]++
+	u.ran[attempt]++
 }
 
 // runs returns how often an attempt was run.
@@ -41,7 +40,7 @@
 }
 
 // startScripted starts a scripted upstream and registers it.
-func (d *testDeployment) startScripted(name string, u *scriptedUpstream) {
+func (d *testDeployment) startScripted(name id.Upstream, domain id.FailureDomain, u *scriptedUpstream) {
 	d.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,8 +56,7 @@
 			go u.run(conn)
 		}
 	}()
-	d.store.Put(string(platform.Upstreams), name, fmt.Appendf(nil,
-		`{"address":%q,"info":{"service":"desk","version":"v1","zone":"d","slots":16},"status":{"state":"ready"},"born":1}`, listener.Addr()))
+	d.store.PutUpstream(name, standin.RawUpstream{Address: listener.Addr().String(), Service: "desk", Domain: domain, Slots: "16", Cold: "0", Incarnation: 1}.Value())
 }
 
 func (u *scriptedUpstream) run(conn net.Conn) {
@@ -70,78 +68,65 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		u.serve(conn, n, r.Header.Get("Attempt-Id"))
+		u.serve(conn, n, standin.AttemptOf(r))
 	}
 }
 
-// rawAnswer returns an answer; of is the attempt that it names, if any.
-func rawAnswer(status, of, header string) string {
-	if of != "" {
-		header += "Attempt-Id: " + of + "\r\n"
-	}
-	return "HTTP/1.1 " + status + "\r\n" + header + "Content-Length: 2\r\n\r\nok"
+// served returns the answer to a request that has run.
+func served(attempt id.Attempt) string {
+	return standin.RawAnswer{Status: "200 OK", Attempt: attempt, Authentic: true}.String()
 }
 
 // requestInterval spreads requests over the backoffs of an upstream that refuses.
 const requestInterval = 20 * time.Millisecond
 
-const signed = "Response-Signature: s\r\n"
-
 // post sends a request that may not run twice, and returns the answer's status or 0.
 func (d *testDeployment) post(path string, attempt id.Attempt) int {
-	d.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address+path, strings.NewReader("body"))
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	r.Host, r.Close = testVirtualHost, true
-	r.Header.Set("Attempt-Id", string(attempt))
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
+	status, _ := d.send(startTimeout, http.MethodPost, path, attempt)
+	return status
 }
 
 // TestRepeatedRefusalIsNotTheNextAnswer guards against clients that are told "not run" for
 // requests that have run, and against such requests that run twice, because an upstream
 // writes an earlier refusal once more on a kept connection.
 func TestRepeatedRefusalIsNotTheNextAnswer(t *testing.T) {
-	for _, refusal := range []struct{ name, status, header string }{
-		{"full", "503 Full", "Not-Executed: 1\r\n"}, {"too many", "429 Many", "Not-Executed: 1\r\n"},
-		{"signed", "503 Full", "Not-Executed: 1\r\n" + signed}, {"without a mark", "503 Full", ""}, {"without an attempt", "400 No", "Not-Executed: 1\r\n"},
+	for _, c := range []struct {
+		name    string
+		refusal standin.RawAnswer
+	}{
+		{"full", standin.RawAnswer{Status: "503 Full", NotRun: true}}, {"too many", standin.RawAnswer{Status: "429 Many", NotRun: true}},
+		{"with a MAC", standin.RawAnswer{Status: "503 Full", NotRun: true, Authentic: true}}, {"without a mark", standin.RawAnswer{Status: "503 Full"}},
+		{"without an attempt", standin.RawAnswer{Status: "400 No", NotRun: true}},
 	} {
 		for _, named := range []bool{true, false} {
 			for _, pause := range []time.Duration{0, 5 * time.Millisecond} {
-				t.Run(fmt.Sprintf("%s, named %v, pause %v", refusal.name, named, pause), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s, named %v, pause %v", c.name, named, pause), func(t *testing.T) {
 					d := startDeployment(t, map[string]float64{"graceS": 0.2})
 					u := &scriptedUpstream{ran: map[id.Attempt]int{}}
 					var repeated atomic.Int64
-					u.serve = func(conn net.Conn, n int, attempt string) {
+					u.serve = func(conn net.Conn, n int, attempt id.Attempt) {
 						if attempt == "first" {
-							_, _ = io.WriteString(conn, rawAnswer("200 OK", attempt, signed))
+							_, _ = io.WriteString(conn, served(attempt))
 							return
 						}
 						if n == 0 {
-							_, _ = io.WriteString(conn, rawAnswer(refusal.status, attempt, refusal.header))
+							own := c.refusal
+							own.Attempt = attempt
+							_, _ = io.WriteString(conn, own.String())
 							return
 						}
 						u.count(attempt)
 						repeated.Add(1)
-						of := ""
+						earlier := c.refusal
 						if named {
-							of = "earlier"
+							earlier.Attempt = "earlier"
 						}
-						_, _ = io.WriteString(conn, rawAnswer(refusal.status, of, refusal.header))
+						_, _ = io.WriteString(conn, earlier.String())
 						time.Sleep(pause)
-						_, _ = io.WriteString(conn, rawAnswer("200 OK", attempt, signed))
+						_, _ = io.WriteString(conn, served(attempt))
 					}
-					d.startScripted("u-1", u)
-					d.startScripted("u-2", u)
+					d.startScripted("u-1", "d", u)
+					d.startScripted("u-2", "d", u)
 					d.awaitServing()
 					end := time.Now().Add(startTimeout)
 					for i := 0; repeated.Load() < 3 && time.Now().Before(end); i++ {
@@ -168,15 +153,15 @@
 	for _, status := range []string{"503 Failed", "429 Slow Down", "408 Late"} {
 		d := startDeployment(t, map[string]float64{"graceS": 0.2})
 		u := &scriptedUpstream{ran: map[id.Attempt]int{}}
-		u.serve = func(conn net.Conn, _ int, attempt string) {
+		u.serve = func(conn net.Conn, _ int, attempt id.Attempt) {
 			u.count(attempt)
 			if attempt == "first" {
-				_, _ = io.WriteString(conn, rawAnswer("200 OK", attempt, signed))
+				_, _ = io.WriteString(conn, served(attempt))
 				return
 			}
-			_, _ = io.WriteString(conn, rawAnswer(status, attempt, signed))
+			_, _ = io.WriteString(conn, standin.RawAnswer{Status: status, Attempt: attempt, Authentic: true}.String())
 		}
-		d.startScripted("u-1", u)
+		d.startScripted("u-1", "d", u)
 		d.awaitServing()
 		if got, want := d.post("/swap/1", "a"), http.StatusBadGateway; got != want || u.runs("a") != 1 {
 			t.Errorf("%s: got status %d after %d runs, want %d after one", status, got, u.runs("a"), want)
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/url"
 
+	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/transport/http1"
+	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -20,6 +22,7 @@
 type sender struct {
 	pool  *http1.Pool
 	clock clock.Clock
+	log   *logging.Log
 }
 
 // errUnauthentic means that an answer does not prove that it comes from an upstream.
@@ -36,7 +39,10 @@
 	out := &http1.Request{
 		Method: in.Method, Target: target(in), Host: in.Host, Body: call.Body, Rest: call.Rest, Length: int64(len(call.Body)), NewConnection: p.NewConnection,
 		Header: platform.UpstreamRequestHeader(in.Header, r.Attempt, p.Account, p.Upstream.Info.ID, p.Remaining),
-		Owner:  func(status int, h http.Header) http1.Owner { return ownerOf(r.Attempt, status, h) },
+		Owner: func(status int, h http.Header) http1.Owner {
+			s.noteLeaving(p.Upstream, status, h)
+			return ownerOf(r.Attempt, status, h)
+		},
 		// The upstream's answer was classified by its head; what follows is judged here.
 		StreamFailed: func(error) { p.Upstream.RecordFailure(s.clock.Now()) },
 	}
@@ -54,6 +60,14 @@
 	return classify(answer)
 }
 
+// noteLeaving stops the use of an upstream that says in any answer that it is leaving, also
+// in one that belongs to another request or is not read to its end.
+func (s *sender) noteLeaving(u *place.Upstream, status int, h http.Header) {
+	if platform.ParseUpstreamHead(status, h, false).Leaving && u.MarkDraining() {
+		s.log.With("upstream", u.Info.ID).With("service", u.Info.Service).With("incarnation", u.Info.Incarnation).Info("An upstream's answer says that it is leaving.")
+	}
+}
+
 // target returns the path and query as the client sent them.
 func target(r *http.Request) string {
 	if u, err := url.ParseRequestURI(r.RequestURI); err == nil && u.IsAbs() {
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"celerypin.example/celerypin/platform/standin"
 )
 
 // TestStopAnswersWorkUntilTheLastSixth guards against requests that a planned stop cuts
@@ -19,9 +21,9 @@
 	d.awaitServing()
 	u.ServiceTime = workEnds - sentAfter
 	requests := []string{
-		"GET /look/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\nAttempt-Id: look\r\n\r\n",
-		"POST /swap/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\nAttempt-Id: swap\r\nContent-Length: 4\r\n\r\nswap",
-		"POST /photo/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\nAttempt-Id: photo\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nphoto\r\n0\r\n\r\n",
+		"GET /look/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\n" + standin.AttemptLine("look") + "\r\n",
+		"POST /swap/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\n" + standin.AttemptLine("swap") + "Content-Length: 4\r\n\r\nswap",
+		"POST /photo/1 HTTP/1.1\r\nHost: " + testVirtualHost + "\r\n" + standin.AttemptLine("photo") + "Transfer-Encoding: chunked\r\n\r\n5\r\nphoto\r\n0\r\n\r\n",
 	}
 	var conns []net.Conn
 	for range requests {
@@ -80,7 +82,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_, _ = io.WriteString(conn, "POST /swap/1 HTTP/1.1\r\nHost: "+testVirtualHost+"\r\nAttempt-Id: swap\r\nContent-Length: 4\r\n\r\nswap")
+	_, _ = io.WriteString(conn, "POST /swap/1 HTTP/1.1\r\nHost: "+testVirtualHost+"\r\n"+standin.AttemptLine("swap")+"Content-Length: 4\r\n\r\nswap")
 	for d.host.clientServer.Active() == 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -25,11 +26,18 @@
 	services      *rcu.Cell[map[id.Service]*pool]
 	timings       *timings
 
-	// mu serializes Update and guards localShares; requests do not take it.
+	// mu serializes Update and guards the fields below; requests do not take it.
 	mu          sync.Mutex
 	localShares map[id.Service]*localShare
+	// left holds the connection keys of incarnations that were marked as leaving, so that
+	// one whose row lapses and returns is not used again.
+	left map[string]bool
 }
 
+// maxLeft bounds the incarnations that are remembered as leaving; beyond it, those that
+// are not listed are forgotten.
+const maxLeft = 4096
+
 // pool is a snapshot of a service's upstreams.
 type pool struct {
 	all        []*Upstream
@@ -45,7 +53,7 @@
 func New(region id.Region, domain id.FailureDomain, maxShift float64, policy Policy) *Placer {
 	return &Placer{
 		region: region, failureDomain: domain, maxShift: maxShift, policy: policy, services: rcu.New(map[id.Service]*pool{}), timings: newTimings(),
-		localShares: map[id.Service]*localShare{},
+		localShares: map[id.Service]*localShare{}, left: map[string]bool{},
 	}
 }
 
@@ -69,11 +77,21 @@
 	for _, s := range *p.services.Load() {
 		for _, u := range s.all {
 			known[u.ConnectionKey()] = u
+			// Without an incarnation, a row that returns may be that of a new start.
+			if u.Draining() && u.Info.Incarnation != 0 {
+				p.left[u.ConnectionKey()] = true
+			}
 		}
 	}
+	if len(p.left) > maxLeft {
+		maps.DeleteFunc(p.left, func(key string, _ bool) bool { return known[key] == nil })
+	}
 	next := map[id.Service]*pool{}
 	for _, l := range list {
 		u := newUpstream(known, l.Info, now)
+		if p.left[u.ConnectionKey()] {
+			u.MarkDraining()
+		}
 		u.SetCold(l.ColdUntil, l.ColdPerSecond)
 		s := next[l.Info.Service]
 		if s == nil {
--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -109,8 +109,11 @@
 func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
 
 // MarkDraining records that the incarnation is leaving, which is final: it gets no
-// requests any more.
-func (u *Upstream) MarkDraining() { u.draining.Store(true) }
+// requests any more. It reports whether that was not known.
+func (u *Upstream) MarkDraining() bool { return !u.draining.Swap(true) }
+
+// Draining reports whether the incarnation has been marked as leaving.
+func (u *Upstream) Draining() bool { return u.draining.Load() }
 
 const (
 	// failureBackoff is the backoff after the first failure; each further failure
