Send an upstream nothing for the time that it asks for in a 503

If none can take a request, the client is refused at once, and its Retry-After is when the first upstream takes requests again, plus the usual delay, spread.

--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -106,6 +106,7 @@
 	head := platform.ParseUpstreamHead(a.Status, a.Header, a.Close)
 	e := steer.Exchange[*http1.Answer]{
 		Answer: a, HasLoad: head.HasLoad, Running: head.Running, Waiting: head.Waiting, ReusedConnection: a.ReusedConnection,
+		QuietFor: head.QuietFor,
 	}
 	switch {
 	case head.Misdirected:
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -208,6 +208,30 @@
 	return nil, Full
 }
 
+// MayServeFrom returns the instant from which the first of the upstreams that may serve a
+// request takes requests again, or now if one does already or none may serve it.
+func (p *Placer) MayServeFrom(q *Query, now clock.Instant) clock.Instant {
+	s := (*p.services.Load())[q.Service]
+	if s == nil {
+		return now
+	}
+	first := clock.Instant(math.MaxInt64)
+	for region, list := range s.releases[q.Release] {
+		if !q.allows(region) {
+			continue
+		}
+		for _, u := range list {
+			if from, ok := u.mayServeFrom(); ok {
+				first = min(first, from)
+			}
+		}
+	}
+	if first == math.MaxInt64 {
+		return now
+	}
+	return max(first, now)
+}
+
 // chooseIn returns the upstream of the list with the lowest expected cost, or nil.
 // It compares the first Policy.Candidates in the order of ownership, and goes on
 // until one is expected to answer in time. If none is, it returns one with a free
--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -134,6 +134,9 @@
 // RecordShed records that the upstream refused a request because it is full.
 func (u *Upstream) RecordShed(now clock.Instant) { u.avoid(now.Add(shedBackoff)) }
 
+// RecordQuiet records that the upstream wants no requests of this host until an instant.
+func (u *Upstream) RecordQuiet(until clock.Instant) { u.avoid(until) }
+
 // avoid extends the backoff to until; an instant before its end changes nothing.
 func (u *Upstream) avoid(until clock.Instant) {
 	for {
@@ -195,6 +198,12 @@
 	return !u.draining.Load() && u.Info.State == fleet.UpstreamLive && int64(now) >= u.avoidUntil.Load()
 }
 
+// mayServeFrom returns the instant from which the upstream may get requests, or false if
+// it is leaving.
+func (u *Upstream) mayServeFrom() (clock.Instant, bool) {
+	return clock.Instant(u.avoidUntil.Load()), !u.draining.Load() && u.Info.State == fleet.UpstreamLive
+}
+
 // ConnectionKey identifies the incarnation, so that connections to an earlier one
 // are not reused.
 func (u *Upstream) ConnectionKey() string {
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -235,6 +235,9 @@
 		// The report leaves out this request, which still counts as in flight here.
 		u.RecordReport(e.Running+1, e.Waiting, now)
 	}
+	if e.QuietFor > 0 {
+		u.RecordQuiet(now.Add(e.QuietFor))
+	}
 	interrupted := ctx.Err() != nil && context.Cause(ctx) != errDeadline
 	switch {
 	case interrupted && e.Result == NoAnswer:
@@ -330,9 +333,12 @@
 		return d.finish(Failed, ReasonLost, 0)
 	case status == place.NoUpstream:
 		return d.finish(Refused, ReasonNoUpstream, noUpstreamRetryDelay)
-	default:
-		return d.finish(Refused, ReasonFull, fullRetryDelay)
 	}
+	decision := d.finish(Refused, ReasonFull, fullRetryDelay)
+	// Clients that come back before an upstream takes requests are refused again.
+	now := d.Clock.Now()
+	decision.RetryAfter += d.Placer.MayServeFrom(d.query(decision.Remaining), now).Sub(now)
+	return decision
 }
 
 // interrupted ends a request whose context has ended before its deadline: the client has
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -72,6 +72,9 @@
 	// Running and Waiting are the numbers of requests at the upstream, without the
 	// one that is answered; valid if HasLoad.
 	Running, Waiting int
+	// QuietFor is how long the upstream wants no request of this host, 0 if it does not
+	// say so.
+	QuietFor time.Duration
 	// ReusedConnection reports whether the exchange used a pooled connection.
 	ReusedConnection bool
 	Err              error
