Take an upstream that reads a body late for alive

Cause: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges every probe with a full window.

Change: from the writing of a body that is not sent with its head to the answer, the timeout is off, and the host closes the connection itself when sent bytes or two probes stay unacknowledged.

--- a/internal/transport/http1/body_test.go
+++ b/internal/transport/http1/body_test.go
@@ -11,8 +11,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"celerypin.example/celerypin/pkg/state/clock"
 )
 
 // bodySize is larger than what is buffered of a body and what sockets hold.
@@ -181,3 +186,74 @@
 		t.Error("got a whole body, want an error")
 	}
 }
+
+// TestUpstreamThatReadsLateIsNotDead guards against uploads that fail because a sound
+// upstream, in whose queue they wait, reads their body later than the user timeout.
+func TestUpstreamThatReadsLateIsNotDead(t *testing.T) {
+	const late = 2 * userTimeout
+	for _, c := range []struct {
+		size int
+		// smallSend lets the body wait in the host rather than in its kernel.
+		smallSend bool
+	}{{maxBufferedBodyBytes - 1, false}, {maxBufferedBodyBytes - 1, true}, {bodySize, true}} {
+		whole := patternOf(c.size)
+		u := newUpstream(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+			_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+			request, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			time.Sleep(late)
+			body, err := io.ReadAll(request.Body)
+			if err != nil || !bytes.Equal(body, whole) {
+				t.Errorf("got %d bytes, error %v, want the %d of the client", len(body), err, c.size)
+				return
+			}
+			_, _ = io.WriteString(conn, okAnswer("1", "kept"))
+		})
+		d := NewDialer(time.Second)
+		if c.smallSend {
+			d.Control = func(network, address string, raw syscall.RawConn) error {
+				return errors.Join(smallSendBuffer(raw), Control(network, address, raw))
+			}
+		}
+		p := NewPool(d, DefaultAnswerLimits, clock.System{}, newGuard())
+		s := startServer(t, func(ctx context.Context, call *Call) Reply {
+			r := newRequest("1")
+			r.Method, r.Body, r.Rest, r.Length = http.MethodPost, call.Body, call.Rest, call.Request.ContentLength
+			answer, err := p.Do(ctx, "u", u.address(), r)
+			if err != nil {
+				return textReply(err.Error())
+			}
+			return Reply{Status: answer.Status, Header: answer.Header, Body: answer.Body}
+		})
+		conn := s.dial(t)
+		request, err := http.NewRequest(http.MethodPost, "http://a/", bytes.NewReader(whole))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = request.Write(conn) }()
+		if _, got := readAnswer(t, bufio.NewReader(conn)); got != "kept" {
+			t.Errorf("%d bytes, small send buffer %v: got %q, want the upstream's answer", c.size, c.smallSend, got)
+		}
+	}
+}
+
+func TestPeerThatAcknowledgesIsNotDead(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		info unix.TCPInfo
+		want bool
+	}{
+		{"acknowledges all", unix.TCPInfo{Last_ack_recv: 10}, false},
+		{"full, answers probes", unix.TCPInfo{Last_ack_recv: 5000, Probes: 1}, false},
+		{"full, answers no probe", unix.TCPInfo{Last_ack_recv: 5000, Probes: 2}, true},
+		{"a packet was lost", unix.TCPInfo{Last_ack_recv: 300, Retransmits: 1}, false},
+		{"acknowledges nothing", unix.TCPInfo{Last_ack_recv: 1000, Retransmits: 2}, true},
+		{"idle", unix.TCPInfo{Last_ack_recv: 9000}, false},
+	} {
+		if got := isDead(&c.info); got != c.want {
+			t.Errorf("%s: got dead %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -215,6 +215,7 @@
 		if n, err := c.Write(r.encode(false)); err != nil && n == 0 {
 			return nil, errors.Join(ErrNotSent, err)
 		}
+		defer p.watchBody(c.Conn)()
 		go func() {
 			err := errBodyPanicked
 			p.guard.Run(taskBody, func() { err = r.writeBody(c) })
--- a/internal/transport/http1/socket_test.go
+++ b/internal/transport/http1/socket_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"errors"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -14,3 +15,12 @@
 	}
 	return err
 }
+
+// smallSendBuffer sets a send buffer that a body of some hundred kilobytes fills.
+func smallSendBuffer(raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 8<<10)
+	})
+	return errors.Join(err, optionErr)
+}
