Keep the parts of hosts that are cut off when others join

What callers would have seen: in a full mesh (up to 24 hosts) an account got more than its quota while one side of a partition was joined by many hosts: 12 hosts, 4 of them cut off, 10 joins: 2,309 requests in 5 s; 18 joins (over to hubs): 2,399. Allowed are 2,264 (400/s, burst 40, a tenth and 20).

Cause: the part reserved for a silent host was its even part of today's list, which shrinks with each join. Only regions in a fleet with hubs kept it.

Change: each host keeps the even part of its last contact (roster.divide, for meshes and hubs alike; regionTotals.even goes). A host that starts later takes the part from live hosts, whose digests now name the failure domains that they do not hear, with the mean part reserved there (bounds checked on decoding). The pause detection moves from the choice of hubs to the round of messages.

Test: TestQuotaHoldsWhileManyHostsJoinOneSide failed before in its three cases that start as a mesh (2,309, 2,312, 2,405) and passes. Without what digests pass on, the two in which hosts restart fail (2,316, 2,406). TestQuotaHoldsInPartitionsOfAnyLength and the tests of hubs pass.

--- a/internal/protocol/gossip/check.go
+++ b/internal/protocol/gossip/check.go
@@ -23,12 +23,22 @@
 	}
 }
 
+// checkPart notes a number that is no part of a whole.
+func (r *ranges) checkPart(field string, got float32) {
+	if r.err == nil && !(got >= 0 && got <= 1) {
+		r.err = fmt.Errorf("%w: field %s: got %g", ErrRange, field, got)
+	}
+}
+
 // check returns an error if a number of the message is out of range.
 func (e *envelope) check() error {
 	var r ranges
 	if d := e.Digest; d != nil {
 		r.check("digest.requests", d.RequestRate)
 		r.check("digest.capacity", float32(d.Capacity))
+		for _, part := range d.UnheardDomains {
+			r.checkPart("digest.unheard_domains", part)
+		}
 		for _, q := range d.Quotas {
 			r.check("digest.quotas.demand", q.Demand)
 			r.check("digest.quotas.part", q.Part)
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -68,6 +68,8 @@
 	RequestRate   float32                   `cbor:"requests"`
 	Outcomes      []outcome                 `cbor:"outcomes,omitempty"`
 	BadReleases   []releaseID               `cbor:"bad,omitempty"`
+	// UnheardDomains holds mean even parts of quotas by failure domain.
+	UnheardDomains map[id.FailureDomain]float32 `cbor:"unheard_domains,omitempty"`
 }
 
 // accountReport is what a host reports about the quota of one account. It is encoded as an
@@ -179,6 +181,12 @@
 	}
 	out.Quotas = quotasToWire(d.Quota)
 	out.Outcomes, out.BadReleases = outcomesToWire(d.ReleaseCounts), releasesToWire(d.BadReleases)
+	for domain, part := range d.Unheard {
+		if out.UnheardDomains == nil {
+			out.UnheardDomains = map[id.FailureDomain]float32{}
+		}
+		out.UnheardDomains[domain] = float32(part)
+	}
 	return out
 }
 
@@ -244,6 +252,10 @@
 		CopyAges:      map[string]time.Duration{},
 		Quota:         quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		ReleaseCounts: outcomesFromWire(d.Outcomes), BadReleases: releasesFromWire(d.BadReleases),
+		Unheard: map[id.FailureDomain]float64{},
+	}
+	for domain, part := range d.UnheardDomains {
+		out.Unheard[domain] = float64(part)
 	}
 	for table, age := range d.CopyAges {
 		out.CopyAges[table] = time.Duration(age) * time.Millisecond
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -32,11 +32,12 @@
 		Follows: true, HoldsPool: true, Versions: map[string]mirror.Version{"op": 9}, LastChange: map[string]mirror.Version{"op": 4}, CopyAges: map[string]time.Duration{"op": 40 * time.Millisecond},
 		Quota:       quota.Report{Demand: map[id.Account]float64{"choir": 2.5}, Part: map[id.Account]float64{"choir": 0.25}},
 		RequestRate: 31, ReleaseCounts: outcomes, BadReleases: []release.ID{{Service: "desk", Release: "v2"}},
+		Unheard: map[id.FailureDomain]float64{"east-a": 0.125},
 	}
 	hubDigest := &roster.Digest{
 		Incarnation: 7, Sequence: 13, Host: digest.Host, Leaving: true, ReadsFailing: true, QuotaKept: true,
 		CopyAges: map[string]time.Duration{}, Quota: quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
-		ReleaseCounts: map[release.RouteRelease]release.Counts{},
+		ReleaseCounts: map[release.RouteRelease]release.Counts{}, Unheard: map[id.FailureDomain]float64{},
 	}
 	totals := quota.NewTotals()
 	totals.Weight, totals.Unreported, totals.Stale = 4, 0.125, true
@@ -160,6 +161,7 @@
 			"rate of a digest":   {Digest: &roster.Digest{RequestRate: value}},
 			"demand of a digest": {Digest: &roster.Digest{Quota: quota.Report{Demand: map[id.Account]float64{"choir": value}}}},
 			"part of a digest":   {Digest: &roster.Digest{Quota: quota.Report{Part: map[id.Account]float64{"choir": value}}}},
+			"unheard domain":     {Digest: &roster.Digest{Unheard: map[id.FailureDomain]float64{"west-a": value}}},
 			"rate of a notice":   {Bulletin: &roster.Bulletin{Notices: []roster.Notice{{Host: "b", RequestRate: value}}}},
 			"demand of a region": {Bulletin: &roster.Bulletin{Totals: map[id.Region]quota.Totals{"west": poisoned}}},
 		} {
@@ -173,3 +175,15 @@
 		}
 	}
 }
+
+func TestPartsOutOfRangeAreRefused(t *testing.T) {
+	for _, part := range []float64{-0.01, 1.01} {
+		data, err := Codec{}.Encode("a", "b", Message{Digest: &roster.Digest{Unheard: map[id.FailureDomain]float64{"west-a": part}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := (Codec{}).Decode(data); !errors.Is(err, ErrRange) {
+			t.Errorf("part %g: got error %v, want ErrRange", part, err)
+		}
+	}
+}
--- a/pkg/coordination/quota/totals.go
+++ b/pkg/coordination/quota/totals.go
@@ -78,6 +78,17 @@
 	return out
 }
 
+// AsCutOff returns the totals of hosts that may use up to their even part of each
+// account's quota by now, whatever they reported.
+func (t *Totals) AsCutOff(accounts []*desired.Account, evenPart float64) Totals {
+	silent := t.AsSilent()
+	out := NewTotals()
+	for _, a := range accounts {
+		out.Silent[a.ID] = max(silent.Silent[a.ID]+silent.Unreported, evenPart)
+	}
+	return out
+}
+
 // Without returns the totals without one of the live hosts.
 func (t *Totals) Without(report Report, weight float64) Totals {
 	out := NewTotals()
--- a/pkg/coordination/roster/hub.go
+++ b/pkg/coordination/roster/hub.go
@@ -25,7 +25,7 @@
 	// gatherDelay is how long a new hub receives quota reports from its followers before
 	// it sums them.
 	gatherDelay = 1200 * time.Millisecond
-	// stallThreshold is the time between two calls of chooseHubs above which this process
+	// stallThreshold is the time between two rounds of messages above which this process
 	// counts as having been paused; the silence of hubs during a pause is ignored.
 	stallThreshold = 900 * time.Millisecond
 )
@@ -75,8 +75,8 @@
 	totals map[id.Region]regionTotals
 	// inherited are the last totals of this region received from another hub.
 	inherited regionTotals
-	// lastChoiceAt is when chooseHubs was last called.
-	lastChoiceAt clock.Instant
+	// lastRoundAt is when the last round of messages began.
+	lastRoundAt clock.Instant
 	// runningSince is when this process started or last resumed after a pause.
 	runningSince clock.Instant
 	// lostAttempts counts the attempts to contact lost hosts.
@@ -87,7 +87,7 @@
 	return hubs{
 		chosenSince: map[id.Host]clock.Instant{}, lastContact: map[id.Host]clock.Instant{}, suspectUntil: map[id.Host]clock.Instant{},
 		followers: map[id.Host]clock.Instant{}, directSenders: map[id.Host]clock.Instant{}, remoteSenders: map[id.Host]clock.Instant{},
-		totals: map[id.Region]regionTotals{}, lastChoiceAt: now, runningSince: now,
+		totals: map[id.Region]regionTotals{}, lastRoundAt: now, runningSince: now,
 	}
 }
 
@@ -168,15 +168,19 @@
 	return 0
 }
 
-// chooseHubs begins a round. It suspects the chosen hosts that have been silent for longer
+// noteRound begins a round of messages and notes whether this process was paused before it.
+func (h *hubs) noteRound(now clock.Instant) {
+	if now.Sub(h.lastRoundAt) > stallThreshold {
+		h.runningSince = now
+	}
+	h.lastRoundAt = now
+}
+
+// chooseHubs suspects the chosen hosts that have been silent for longer
 // than hubTimeout, sets the hub and the standby, and returns the remote hubs if this host
 // is a hub.
 func (r *Roster) chooseHubs(own hubStatus, now clock.Instant) (remoteHubs []id.Host) {
 	h := &r.hubs
-	if now.Sub(h.lastChoiceAt) > stallThreshold {
-		h.runningSince = now
-	}
-	h.lastChoiceAt = now
 	for host, since := range h.chosenSince {
 		if now.Sub(max(since, h.lastContact[host], h.runningSince)) > hubTimeout {
 			h.suspectUntil[host] = now.Add(suspectTimeout)
--- a/pkg/coordination/roster/partition_test.go
+++ b/pkg/coordination/roster/partition_test.go
@@ -27,16 +27,18 @@
 // more than it at all hosts, while links between regions are cut. The store stands in
 // region r0; only hosts that reach that region learn of new hosts.
 type quotaCluster struct {
-	t        *testing.T
-	clock    *clock.Fake
-	hosts    []*quotaHost
-	byID     map[id.Host]*quotaHost
-	members  []Member
-	account  *desired.Account
-	demand   float64
-	rng      *rand.Rand
-	cut      map[[2]id.Region]bool
-	admitted []clock.Instant
+	t       *testing.T
+	clock   *clock.Fake
+	hosts   []*quotaHost
+	byID    map[id.Host]*quotaHost
+	members []Member
+	account *desired.Account
+	// demand is the rate of requests at each host, unless regionDemand has its region.
+	demand       float64
+	regionDemand map[id.Region]float64
+	rng          *rand.Rand
+	cut          map[[2]id.Region]bool
+	admitted     []clock.Instant
 	// incarnations numbers the starts of hosts.
 	incarnations id.Incarnation
 }
@@ -141,7 +143,11 @@
 	}
 	h.inbox = nil
 	h.shares.Rebalance(accounts, h.roster.QuotaPeers(h.report, accounts, now), now)
-	for h.owed += c.demand * clusterTick.Seconds(); h.owed >= 1; h.owed-- {
+	demand, known := c.regionDemand[h.Region]
+	if !known {
+		demand = c.demand
+	}
+	for h.owed += demand * clusterTick.Seconds(); h.owed >= 1; h.owed-- {
 		if ok, _ := h.shares.Take(c.account.ID, now); ok {
 			c.admitted = append(c.admitted, now)
 		}
@@ -205,12 +211,7 @@
 			oneWay := c.rng.IntN(3) == 0
 			length := 5*time.Second + time.Duration(c.rng.Int64N(int64(5*time.Minute)))
 			events = append(events, fmt.Sprintf("%v: %s alone for %v, one way %v", c.clock.Now().Sub(start), lone, length.Round(time.Second), oneWay))
-			for _, other := range []id.Region{"r0", "r1", "r2"} {
-				if other != lone {
-					c.cut[[2]id.Region{lone, other}] = true
-					c.cut[[2]id.Region{other, lone}] = !oneWay
-				}
-			}
+			c.cutOff(lone, oneWay)
 			for range 4 {
 				c.run(length / 5)
 				c.disturb(&events, start)
--- a/pkg/coordination/roster/quotas.go
+++ b/pkg/coordination/roster/quotas.go
@@ -14,9 +14,6 @@
 type regionTotals struct {
 	quota.Totals
 	receivedAt clock.Instant
-	// even is the region's even part when it was last in contact. Both sides of a partition
-	// keep to it, whichever hosts join or leave on one of them.
-	even float64
 }
 
 const (
@@ -40,52 +37,41 @@
 func (r *Roster) QuotaPeers(report quota.Report, accounts []*desired.Account, now clock.Instant) quota.Peers {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	weights, totalWeight := r.weights(now)
-	ownWeight := weights[r.self.ID]
+	v := r.divide(now)
+	ownWeight := v.weights[r.self.ID]
 	others := quota.NewTotals()
-	if len(weights) == 1 {
+	if len(v.weights) == 1 {
 		others.Unreported = assumedHosts / (assumedHosts + 1.0)
 		return quota.NewPeers(others, ownWeight, 1/(assumedHosts+1.0))
 	}
 	if r.meshed() {
-		others = r.sumReports(r.allHosts(now)[1:], weights, totalWeight, accounts, now)
-		return quota.NewPeers(others, ownWeight, ownWeight/totalWeight)
+		others = r.sumReports(r.allHosts(now)[1:], v, accounts, now)
+		return quota.NewPeers(others, ownWeight, ownWeight/v.total)
 	}
 	pooled := r.poolHolder(now) != ""
 	for region, hosts := range r.byRegion() {
-		even := 0.0
-		for _, m := range hosts {
-			even += weights[m.ID] / totalWeight
-		}
+		even := v.sum(hosts)
 		t, known := r.hubs.totals[region]
 		if !known {
 			others.Unreported += even
 			continue
 		}
-		age := now.Sub(t.receivedAt)
-		if age < relayTimeout || t.even == 0 {
-			t.even = even
-			r.hubs.totals[region] = t
-		}
 		if region == r.self.Region {
 			t.Totals = t.Without(report, ownWeight)
 		}
-		switch {
+		switch age := now.Sub(t.receivedAt); {
 		case age < relayTimeout:
 			others.Add(t.Totals)
 			others.Stale = others.Stale || age > staleTotalsAge
 		case age < reservationTimeout:
 			others.Add(t.AsSilent())
 		case age < growthTimeout:
-			silent := t.AsSilent()
-			for _, a := range accounts {
-				others.Silent[a.ID] += max(silent.Silent[a.ID]+silent.Unreported, t.even)
-			}
+			others.Add(t.AsCutOff(accounts, even))
 		default:
-			others.Unreported += t.even
+			others.Unreported += even
 		}
 	}
-	peers := quota.NewPeers(others, ownWeight, ownWeight/totalWeight)
+	peers := quota.NewPeers(others, ownWeight, ownWeight/v.total)
 	peers.Pooled = pooled
 	return peers
 }
@@ -139,10 +125,9 @@
 }
 
 // sumRegion returns the totals of this host's region, this host included.
-func (r *Roster) sumRegion(own quota.Report, accounts []*desired.Account, now clock.Instant) quota.Totals {
-	weights, total := r.weights(now)
-	t := r.sumReports(r.byRegion()[r.self.Region], weights, total, accounts, now)
-	t.AddLive(own, weights[r.self.ID])
+func (r *Roster) sumRegion(own quota.Report, v division, accounts []*desired.Account, now clock.Instant) quota.Totals {
+	t := r.sumReports(r.byRegion()[r.self.Region], v, accounts, now)
+	t.AddLive(own, v.weights[r.self.ID])
 	// Hosts that have not reported to this host keep the parts that the previous hub knew of.
 	if t.Unreported > 0 && now.Sub(r.hubs.inherited.receivedAt) < reservationTimeout {
 		t.Unreported = 0
@@ -154,11 +139,11 @@
 }
 
 // sumReports sums the reports that the hosts sent to this one directly.
-func (r *Roster) sumReports(hosts []fleet.Host, weights map[id.Host]float64, totalWeight float64, accounts []*desired.Account, now clock.Instant) quota.Totals {
+func (r *Roster) sumReports(hosts []fleet.Host, v division, accounts []*desired.Account, now clock.Instant) quota.Totals {
 	t := quota.NewTotals()
 	for _, m := range hosts {
 		h, known := r.states[m.ID]
-		switch evenPart := weights[m.ID] / totalWeight; {
+		switch evenPart := v.parts[m.ID]; {
 		case !known || now.Sub(h.reportedAt) >= growthTimeout || len(h.digest.Quota.Part) == 0:
 			t.Unreported += evenPart
 		case now.Sub(h.reportedAt) >= reservationTimeout:
@@ -166,7 +151,7 @@
 				t.Silent[a.ID] += max(h.digest.Quota.Part[a.ID], evenPart)
 			}
 		case h.isLive(now):
-			t.AddLive(h.digest.Quota, weights[m.ID])
+			t.AddLive(h.digest.Quota, v.weights[m.ID])
 			t.Stale = t.Stale || now.Sub(h.reportedAt) > staleHostAge
 		default:
 			t.AddSilent(accounts, h.digest.Quota, evenPart)
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -54,6 +54,9 @@
 	ReleaseCounts map[release.RouteRelease]release.Counts
 	// BadReleases are the releases that the host considers bad.
 	BadReleases []release.ID
+	// Unheard holds the failure domains of which the host hears no host, with the mean even
+	// part of the quotas that it reserves for each host there.
+	Unheard map[id.FailureDomain]float64
 }
 
 // Timeouts after which a silent host is treated differently.
@@ -98,6 +101,8 @@
 	sorted []Member
 	// states also holds hosts that have sent a digest and are not listed.
 	states map[id.Host]*hostState
+	// lastEvenParts are the last even parts of the quotas of the listed hosts.
+	lastEvenParts map[id.Host]float64
 	// rounds counts the rounds of messages.
 	rounds int
 	hubs   hubs
@@ -155,10 +160,7 @@
 	if now.Sub(r.startedAt) < expiryTimeout || len(r.live(now)) == 0 {
 		return nil
 	}
-	inContact := map[id.FailureDomain]bool{r.self.FailureDomain: true}
-	for _, d := range r.live(now) {
-		inContact[d.Host.FailureDomain] = true
-	}
+	inContact := r.domainsInContact(now)
 	var out []id.Host
 	for _, m := range r.members() {
 		h, known := r.states[m.ID]
