Count a host that does not hear this one as silent in quotas

What callers would have seen: while messages between two sides of a full mesh passed one way only, an account got more than its quota if demand was on one side: 2,374 requests in 5 s where that side was the heard one's, 2,778 where it heard and was not heard; 2,264 are allowed (12 hosts, 4 of them apart).

Cause: the side that hears divides the whole quota by demand, the one that does not keeps its even part. Neither knew that the other divided otherwise.

Change: a live host whose digest names this failure domain as unheard has the larger of its reported and its even part reserved, as a silent one has.

Test: TestQuotaHoldsInOneWayPartitionWithUnequalDemand failed in two of four cases with 12 hosts; those with 30 hosts and hubs passed before, too, because hubs answer only those that they hear from. All pass now. TestQuotaHoldsInPartitionsOfAnyLength passes as before.

--- a/pkg/coordination/roster/evenparts.go
+++ b/pkg/coordination/roster/evenparts.go
@@ -29,7 +29,7 @@
 		v.parts[m.ID] = weights[m.ID] / total
 		h, known := r.states[m.ID]
 		live := known && h.isLive(now)
-		if last, known := r.lastEvenParts[m.ID]; known && !live {
+		if last, known := r.lastEvenParts[m.ID]; known && (!live || r.hearsNot(&h.digest)) {
 			v.parts[m.ID] = last
 		}
 		if !live {
@@ -86,3 +86,10 @@
 	}
 	return out
 }
+
+// hearsNot reports whether a host hears none of this host's failure domain. It then
+// counts the parts of this side as those of silent hosts, so this side must, too.
+func (r *Roster) hearsNot(d *Digest) bool {
+	_, unheard := d.Unheard[r.self.FailureDomain]
+	return unheard
+}
--- a/pkg/coordination/roster/lopsided_test.go
+++ b/pkg/coordination/roster/lopsided_test.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// deafen cuts the links to a region from all others.
+func (c *quotaCluster) deafen(lone id.Region) {
+	for _, other := range []id.Region{"r0", "r1", "r2"} {
+		if other != lone {
+			c.cut[[2]id.Region{other, lone}] = true
+		}
+	}
+}
+
 // TestQuotaHoldsWhileManyHostsJoinOneSide guards against a side of a partition that takes
 // over parts of the other because hosts joined it, also if the joins turn its full mesh
 // into one with hubs, and if its hosts restart one after the other.
@@ -69,3 +78,33 @@
 		})
 	}
 }
+
+// TestQuotaHoldsInOneWayPartitionWithUnequalDemand guards against a region that hears the
+// others, or is heard by them, while nothing passes the other way: both sides must divide
+// the quota alike.
+func TestQuotaHoldsInOneWayPartitionWithUnequalDemand(t *testing.T) {
+	for _, perDomain := range []int{2, 5} {
+		if testing.Short() && perDomain > 2 {
+			continue
+		}
+		for _, deaf := range []bool{true, false} {
+			for _, heavy := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%d hosts, deaf %v, heavy %v", 6*perDomain, deaf, heavy), func(t *testing.T) {
+					c := newLopsidedCluster(t, perDomain)
+					c.regionDemand = map[id.Region]float64{"r0": 400, "r1": 400, "r2": 60}
+					if heavy {
+						c.regionDemand = map[id.Region]float64{"r0": 60, "r1": 60, "r2": 800}
+					}
+					c.run(20 * time.Second)
+					if deaf {
+						c.deafen("r2")
+					} else {
+						c.cutOff("r2", true)
+					}
+					c.run(2 * time.Minute)
+					c.checkBound()
+				})
+			}
+		}
+	}
+}
--- a/pkg/coordination/roster/quotas.go
+++ b/pkg/coordination/roster/quotas.go
@@ -146,7 +146,7 @@
 		switch evenPart := v.parts[m.ID]; {
 		case !known || now.Sub(h.reportedAt) >= growthTimeout || len(h.digest.Quota.Part) == 0:
 			t.Unreported += evenPart
-		case now.Sub(h.reportedAt) >= reservationTimeout:
+		case now.Sub(h.reportedAt) >= reservationTimeout, h.isLive(now) && r.hearsNot(&h.digest):
 			for _, a := range accounts {
 				t.Silent[a.ID] += max(h.digest.Quota.Part[a.ID], evenPart)
 			}
