Soak: check that hosts keep to what upstreams say in their answers

The stand-ins sent Server-Leaving and Retry-After, but no check of the soak looked at what hosts did then. New checks: no request that a client sent 2 s after a host had passed on an answer that says the upstream is leaving, and two at most in the quiet that an upstream asked for, from half a second on. New faults: an upstream leaves without telling the store, and one refuses everything for some seconds.

Each check has a case in TestChecksDetectBrokenPromises.

--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -133,7 +133,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.executions = append(d.executions, e)
-	})
+	}, func(standin.Refusal) {})
 	d.t.Cleanup(u.Stop)
 	return u
 }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -115,7 +115,7 @@
 			return
 		}
 		address := c.addresses[c.rng.IntN(len(c.addresses))]
-		c.soak.record.attemptSent(call, account, idempotent)
+		c.soak.record.attemptSent(call, account, idempotent, address)
 		sentAt := time.Now()
 		answer, err := standin.Do(ctx, c.client, address, call)
 		if ctx.Err() != nil {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -235,7 +235,7 @@
 		ID: id.Upstream(fmt.Sprintf("upstream-%d", d.upstreamsStarted)), Service: service, Release: "v1", FailureDomain: domain, Address: relay.Address(),
 		Slots: slots, Incarnation: id.Incarnation(time.Now().UnixMilli()),
 	}
-	u := &upstream{relay: relay, Upstream: standin.StartUpstream(info, listener, d.store, serviceTime, d.record.executed)}
+	u := &upstream{relay: relay, Upstream: standin.StartUpstream(info, listener, d.store, serviceTime, d.record.executed, d.record.refused)}
 	d.upstreams = append(d.upstreams, u)
 	return nil
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,6 +41,7 @@
 	{"blackhole connections to upstreams", blackholeUpstreams}, {"reset connections to upstreams", resetUpstreams}, {"delay an upstream", delayUpstream},
 	{"upstream crashes", crashUpstream}, {"upstream drains", drainUpstream},
 	{"desired state changes", changeDesired}, {"key is withdrawn", withdrawKey},
+	{"upstream leaves without telling the store", leaveUpstream}, {"upstream wants no requests", quietUpstream},
 }
 
 // injectFaults injects random faults, some of which overlap, until the run's duration
@@ -92,6 +93,7 @@
 // kill kills a host's process and starts a new one after d.
 func (s *soak) kill(h *host, d time.Duration) {
 	s.logFault("%s killed, restart in %v", h.settings.Host.ID, d)
+	defer s.record.disturb(h.settings.Host.Address)()
 	h.signal(syscall.SIGKILL, false)
 	h.waitForExit(time.Second)
 	time.Sleep(d)
@@ -121,6 +123,7 @@
 		return
 	}
 	s.logFault("%s paused for %v", h.settings.Host.ID, d)
+	defer s.record.disturb(h.settings.Host.Address)()
 	h.signal(syscall.SIGSTOP, true)
 	time.Sleep(d)
 	h.signal(syscall.SIGCONT, true)
@@ -134,6 +137,7 @@
 	}
 	s.logFault("%s gets SIGTERM, restart in %v", h.settings.Host.ID, d)
 	s.record.hostStopping(h.settings.Host.Address, time.Now())
+	defer s.record.disturb(h.settings.Host.Address)()
 	h.signal(syscall.SIGTERM, false)
 	if !h.waitForExit(stopTimeout) {
 		s.record.addViolation("%s still ran %v after SIGTERM", h.settings.Host.ID, stopTimeout)
@@ -217,6 +221,7 @@
 	for _, u := range s.liveUpstreams() {
 		if rng.IntN(3) == 0 {
 			u.relay.Blackhole()
+			s.record.disturbLinks(u)
 		}
 	}
 	s.logFault("connections to about a third of the upstreams blackholed")
@@ -226,6 +231,7 @@
 	for _, u := range s.liveUpstreams() {
 		if rng.IntN(3) == 0 {
 			u.relay.Reset()
+			s.record.disturbLinks(u)
 		}
 	}
 	s.logFault("connections to about a third of the upstreams reset")
@@ -234,6 +240,7 @@
 func delayUpstream(s *soak, rng *rand.Rand, d time.Duration) {
 	u := s.randomUpstream(rng)
 	s.logFault("%s delayed for %v", u.Info.ID, d)
+	defer s.record.disturb(string(u.Info.ID))()
 	u.relay.SetDelay(upstreamDelay)
 	time.Sleep(d)
 	u.relay.SetDelay(0)
@@ -265,6 +272,27 @@
 	u.Stop()
 }
 
+// leaveUpstream makes an upstream leave that says so in its answers alone.
+func leaveUpstream(s *soak, rng *rand.Rand, _ time.Duration) {
+	u := s.randomUpstream(rng)
+	s.logFault("%s leaves without telling the store", u.Info.ID)
+	s.deployment.mu.Lock()
+	u.draining = true
+	s.deployment.mu.Unlock()
+	s.startReplacement(u)
+	u.Leave()
+	time.Sleep(drainDuration)
+	s.markStopped(u)
+	u.Stop()
+}
+
+func quietUpstream(s *soak, rng *rand.Rand, d time.Duration) {
+	u := s.randomUpstream(rng)
+	s.logFault("%s wants no requests for %v", u.Info.ID, d)
+	u.Quiet(d)
+	time.Sleep(d)
+}
+
 func (s *soak) markStopped(u *upstream) {
 	s.deployment.mu.Lock()
 	defer s.deployment.mu.Unlock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -51,6 +51,10 @@
 	drains    map[id.Upstream]drain
 	// withdrawnAt holds the times of withdrawals by key.
 	withdrawnAt map[string]time.Time
+	// arrivals are the requests that reached an upstream from a host.
+	arrivals map[passage][]arrival
+	// disturbances are the times of the calls of disturb, by name.
+	disturbances map[string][]interval
 	// addedPrefixes are those of the routes added during the run.
 	addedPrefixes []string
 	// hotExecutions are the times at which requests of hotAccount began to run.
@@ -87,7 +91,7 @@
 func newRecord() *record {
 	return &record{
 		attempts: map[id.Attempt]*attempt{}, stopTimes: map[string]time.Time{}, drains: map[id.Upstream]drain{}, withdrawnAt: map[string]time.Time{},
-		lastFaultEnd: time.Now(), startedAt: time.Now(),
+		arrivals: map[passage][]arrival{}, disturbances: map[string][]interval{}, lastFaultEnd: time.Now(), startedAt: time.Now(),
 	}
 }
 
@@ -149,10 +153,10 @@
 }
 
 // attemptSent notes an attempt before it is sent.
-func (r *record) attemptSent(c standin.Call, account id.Account, idempotent bool) {
+func (r *record) attemptSent(c standin.Call, account id.Account, idempotent bool, address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.attempts[c.Attempt] = &attempt{call: c, account: account, idempotent: idempotent, sentAt: time.Now()}
+	r.attempts[c.Attempt] = &attempt{call: c, account: account, idempotent: idempotent, address: address, sentAt: time.Now()}
 }
 
 // attemptAborted marks an attempt whose caller stopped because the run ended.
@@ -189,6 +193,7 @@
 		return
 	}
 	t.executions = append(t.executions, e)
+	r.noteArrival(t, arrival{attempt: e.Attempt, at: e.At, leaving: e.Leaving}, e.Upstream)
 	if t.account == hotAccount {
 		r.hotExecutions = append(r.hotExecutions, e.At)
 	}
@@ -257,6 +262,7 @@
 		r.checkStop(attemptID, t)
 	}
 	r.checkQuota()
+	r.checkArrivals()
 	report.Violations = slices.Clone(r.violations)
 	return report
 }
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -26,6 +26,15 @@
 		return e
 	}
 	unchanged := func(*standin.Execution) {}
+	read := func(a id.Attempt) standin.Call {
+		return standin.Call{Attempt: a, Path: "/read/1", Key: primaryKey("account-1")}
+	}
+	readExecution := func(a id.Attempt, modify func(*standin.Execution)) standin.Execution {
+		return execution(func(e *standin.Execution) {
+			e.Attempt, e.Path, e.BodyHash = a, "/read/1", sha256.Sum256(nil)
+			modify(e)
+		})
+	}
 	cases := []struct {
 		name    string
 		observe func(r *record)
@@ -65,10 +74,29 @@
 			r.keyWithdrawn(book.Key, time.Now().Add(-2*maxRevocationDelay))
 			r.executed(execution(unchanged))
 		}},
+		{"told that it leaves", func(r *record) {
+			early, late := read("r-1"), read("r-2")
+			r.attemptSent(early, "account-1", true, "front")
+			r.executed(readExecution("r-1", func(e *standin.Execution) { e.Leaving = true }))
+			r.attemptAnswered(early, "front", time.Now(), standin.Answer{Status: http.StatusOK, Authentic: true, Body: standin.AnswerTo("r-1", "/read/1")}, nil)
+			r.attempts["r-1"].answeredAt = time.Now().Add(-maxDrainDelay - time.Second)
+			r.attemptSent(late, "account-1", true, "front")
+			r.executed(readExecution("r-2", unchanged))
+		}},
+		{"quiet upstream", func(r *record) {
+			now := time.Now()
+			r.attemptSent(read("r-0"), "account-1", true, "front")
+			r.refused(standin.Refusal{Attempt: "r-0", Upstream: "u-1", At: now.Add(-quietDelay - time.Millisecond), Quiet: time.Second})
+			for i := range maxQuietArrivals + 1 {
+				name := id.Attempt(fmt.Sprint("r-", i+1))
+				r.attemptSent(read(name), "account-1", true, "front")
+				r.executed(readExecution(name, unchanged))
+			}
+		}},
 		{"over quota", func(r *record) {
 			for i := range 200 {
 				name := id.Attempt(fmt.Sprint("hot-", i))
-				r.attemptSent(standin.Call{Attempt: name, Path: "/read/1"}, hotAccount, true)
+				r.attemptSent(standin.Call{Attempt: name, Path: "/read/1"}, hotAccount, true, "front")
 				r.executed(execution(func(e *standin.Execution) {
 					e.Attempt, e.Account, e.Path, e.BodyHash = name, hotAccount, "/read/1", sha256.Sum256(nil)
 				}))
@@ -80,7 +108,7 @@
 	for _, c := range cases {
 		r := newRecord()
 		r.lastFaultEnd = longAgo
-		r.attemptSent(book, "account-1", false)
+		r.attemptSent(book, "account-1", false, "front")
 		c.observe(r)
 		violations := r.report(1).Violations
 		if wantViolations := c.name != "nothing wrong"; wantViolations != (len(violations) > 0) {
--- a/internal/soak/recovery.go
+++ b/internal/soak/recovery.go
@@ -53,7 +53,7 @@
 		Attempt: id.Attempt(fmt.Sprintf("probe-%d", s.probes)), Method: http.MethodGet, VirtualHost: virtualHost, Path: path, Key: key,
 		Remaining: requestTimeout,
 	}
-	s.record.attemptSent(call, accountID(1), true)
+	s.record.attemptSent(call, accountID(1), true, h.settings.Host.Address)
 	answer, err := standin.Do(ctx, client, h.settings.Host.Address, call)
 	if err != nil || answer.Status != want {
 		s.record.addViolation("%s: final request for %s with key %s: got status %d (%v), want %d", h.settings.Host.ID, path, key, answer.Status, err, want)
