Own interface: take only answers that name their exchange on reused connections

What callers saw: with an upstream that does not return Celerypin-Exchange, or does not in a second copy of an answer that it sends late, the next request on the connection got the copy as its own answer: 3 of 6 requests in a row.

Cause: the header was checked only if it was there, and connections were pooled whether or not the upstream returns it.

Change: idempotent requests use pooled connections only after an answer of the upstream has named its exchange, and on a reused connection each answer must; else it counts as foreign. Other upstreams get a connection for each request, which non-idempotent requests had before.

Test: TestCopyOfAnAnswerGoesToNoOtherRequest failed in two of three cases; TestConnectionsOfIdentifyingUpstreamsAreReused: two connections for ten requests, one more than before. Daemon, demo and pick tests pass.

--- a/internal/transport/upstream/forward.go
+++ b/internal/transport/upstream/forward.go
@@ -76,9 +76,11 @@
 
 // Forwarder sends requests to upstreams.
 //
-// Idempotent requests use pooled connections. A non-idempotent request always gets a
-// new connection and a body that cannot be rewound, so that net/http cannot send it
-// twice and it cannot get lost on a silent connection.
+// Idempotent requests use pooled connections if the upstream's answers identify their
+// exchange; otherwise a late copy of an answer would pass for that of the next request.
+// A non-idempotent request always gets a new connection and a body that cannot be
+// rewound, so that net/http cannot send it twice and it cannot get lost on a silent
+// connection.
 type Forwarder struct {
 	pooled *http.Transport
 	// unpooled makes a new connection for each request.
@@ -120,10 +122,10 @@
 	out := f.build(ctx, u, r)
 	exchange := out.Header.Get(upstream.ExchangeHeader)
 	roundTrip := f.roundTripPooled
-	if !r.Idempotent || r.NewConnection {
+	if !r.Idempotent || r.NewConnection || !u.IdentifiesAnswers() {
 		roundTrip = f.roundTripUnpooled
 	}
-	response, err := roundTrip(out, r)
+	response, reused, err := roundTrip(out, r)
 	if errors.Is(err, ErrSilent) {
 		f.pooled.CloseIdleConnections()
 		return nil, err
@@ -131,23 +133,24 @@
 	if err != nil {
 		return nil, f.classify(u, err)
 	}
-	return f.checkHead(u, response, exchange)
+	return f.checkHead(u, response, exchange, reused)
 }
 
-func (f *Forwarder) roundTripUnpooled(out *http.Request, _ *Request) (*http.Response, error) {
-	return f.unpooled.RoundTrip(out)
+func (f *Forwarder) roundTripUnpooled(out *http.Request, _ *Request) (_ *http.Response, reused bool, _ error) {
+	response, err := f.unpooled.RoundTrip(out)
+	return response, false, err
 }
 
 // roundTripPooled sends a request on a pooled connection if there is one. If no answer
 // arrives on it in time and the retry budget allows a retry, the error matches
 // ErrSilent; other pooled connections may then be dead too.
-func (f *Forwarder) roundTripPooled(out *http.Request, r *Request) (*http.Response, error) {
+func (f *Forwarder) roundTripPooled(out *http.Request, r *Request) (_ *http.Response, reused bool, _ error) {
 	f.sent.Add(1)
-	var reused atomic.Bool
+	var onReused atomic.Bool
 	ctx, cancel := context.WithCancelCause(out.Context())
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { onReused.Store(info.Reused) }}
 	timer := time.AfterFunc(silentTimeout(r.Remaining), func() {
-		if reused.Load() && f.mayRetry() {
+		if onReused.Load() && f.mayRetry() {
 			cancel(ErrSilent)
 		}
 	})
@@ -156,12 +159,12 @@
 	if err != nil {
 		defer cancel(nil)
 		if errors.Is(context.Cause(ctx), ErrSilent) {
-			return nil, ErrSilent
+			return nil, false, ErrSilent
 		}
-		return nil, err
+		return nil, false, err
 	}
 	response.Body = &cancelingBody{response.Body, cancel}
-	return response, nil
+	return response, onReused.Load(), nil
 }
 
 // cancelingBody cancels the context of an exchange when its answer is closed.
@@ -248,12 +251,15 @@
 }
 
 // checkHead records what an answer's head says about the upstream, and returns an error
-// if the answer belongs to another exchange or the request was not run.
-func (f *Forwarder) checkHead(u *pick.Upstream, response *http.Response, exchange string) (*http.Response, error) {
+// if the answer belongs to another exchange or the request was not run. On a reused
+// connection an answer that does not identify its exchange may be another's.
+func (f *Forwarder) checkHead(u *pick.Upstream, response *http.Response, exchange string, reused bool) (*http.Response, error) {
 	if response.Header.Get(upstream.DrainingHeader) == "true" {
 		u.MarkDraining()
 	}
-	if got := response.Header.Get(upstream.ExchangeHeader); got != "" && got != exchange {
+	got := response.Header.Get(upstream.ExchangeHeader)
+	u.RecordIdentified(got != "")
+	if got != exchange && (got != "" || reused) {
 		_ = response.Body.Close()
 		f.pooled.CloseIdleConnections()
 		u.RecordFailure(f.clock.Now())
--- a/pkg/coordination/pick/pick.go
+++ b/pkg/coordination/pick/pick.go
@@ -44,6 +44,8 @@
 	failures atomic.Int64
 	// draining is never reset.
 	draining atomic.Bool
+	// identifies reports whether the last answer identified its exchange.
+	identifies atomic.Bool
 }
 
 // RecordReport records a load report of the upstream: its busy slots, and whether it is
@@ -59,6 +61,13 @@
 // MarkDraining records that the upstream is draining, which is final.
 func (u *Upstream) MarkDraining() { u.draining.Store(true) }
 
+// RecordIdentified records whether an answer of the upstream identified its exchange.
+func (u *Upstream) RecordIdentified(identified bool) { u.identifies.Store(identified) }
+
+// IdentifiesAnswers reports whether the upstream's answers identify their exchanges, so
+// that one that belongs to another request is detected.
+func (u *Upstream) IdentifiesAnswers() bool { return u.identifies.Load() }
+
 // RecordShed records that the upstream refused a request and asked for a backoff.
 func (u *Upstream) RecordShed(backoff time.Duration, now clock.Instant) { u.avoid(now.Add(backoff)) }
 
