Rollouts: count each incarnation of a host once

What would have been seen: requests of a rollout counted twice or more, so a bad release could look better, or a good one worse, than it was.

Cause: the counter kept the counts of one incarnation of a host. A late report of the one before, as a hub may relay it, replaced them, and both were counted again from zero.

Change: the counts of the last four incarnations of each host are kept.

--- a/pkg/coordination/rollout/counter.go
+++ b/pkg/coordination/rollout/counter.go
@@ -10,7 +10,8 @@
 // counter sums the request counts of all hosts. The totals never fall, although the
 // counts of a host start at zero again when it restarts.
 type counter struct {
-	hosts  map[id.Host]*hostCounts
+	// hosts holds the last counts of the latest incarnations of each host, the latest last.
+	hosts  map[id.Host][]*hostCounts
 	totals map[release.RouteRelease]release.Counts
 }
 
@@ -20,7 +21,7 @@
 }
 
 func newCounter() *counter {
-	return &counter{hosts: map[id.Host]*hostCounts{}, totals: map[release.RouteRelease]release.Counts{}}
+	return &counter{hosts: map[id.Host][]*hostCounts{}, totals: map[release.RouteRelease]release.Counts{}}
 }
 
 // add takes the counts of a host since its start.
@@ -29,11 +30,7 @@
 		// Reports without counts carry no incarnation.
 		return
 	}
-	last := ctr.hosts[host]
-	if last == nil || last.incarnation != inc {
-		last = &hostCounts{incarnation: inc, counts: map[release.RouteRelease]release.Counts{}}
-		ctr.hosts[host] = last
-	}
+	last := ctr.incarnation(host, inc)
 	for rr, c := range counts {
 		previous := last.counts[rr]
 		if c.Requests < previous.Requests || c.Failed < previous.Failed || c.Slow < previous.Slow {
@@ -45,6 +42,24 @@
 	}
 }
 
+// maxIncarnations is the number of incarnations of a host whose counts are kept. Reports
+// are late by seconds at most, and no host restarts that often in them.
+const maxIncarnations = 4
+
+// incarnation returns the counts of an incarnation of a host. Those of earlier ones stay
+// known, because a hub may relay an earlier report later.
+func (ctr *counter) incarnation(host id.Host, inc id.Incarnation) *hostCounts {
+	known := ctr.hosts[host]
+	for _, h := range known {
+		if h.incarnation == inc {
+			return h
+		}
+	}
+	h := &hostCounts{incarnation: inc, counts: map[release.RouteRelease]release.Counts{}}
+	ctr.hosts[host] = append(known[max(len(known)-maxIncarnations+1, 0):], h)
+	return h
+}
+
 func (ctr *counter) counts() map[release.RouteRelease]release.Counts { return maps.Clone(ctr.totals) }
 
 // sum returns the counts of a release on all routes.
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -144,3 +144,33 @@
 		t.Errorf("got %d requests, want %d", got, want)
 	}
 }
+
+// TestLateReportOfAnEarlierIncarnation guards against requests that count twice, because a
+// report of a host's last start arrives after one of its next.
+func TestLateReportOfAnEarlierIncarnation(t *testing.T) {
+	rr := release.RouteRelease{Service: "s", Release: "v2", Route: "r"}
+	c := newCounter()
+	for _, report := range []struct {
+		inc      id.Incarnation
+		requests uint64
+	}{{5, 100}, {6, 10}, {5, 100}, {6, 12}, {5, 101}, {6, 12}} {
+		c.add("h", report.inc, map[release.RouteRelease]release.Counts{rr: {Requests: report.requests}})
+	}
+	if got, want := c.sum("s", "v2").Requests, uint64(113); got != want {
+		t.Errorf("got %d requests, want %d", got, want)
+	}
+}
+
+func TestIncarnationsOfAHostAreBounded(t *testing.T) {
+	rr := release.RouteRelease{Service: "s", Release: "v2", Route: "r"}
+	c := newCounter()
+	for inc := id.Incarnation(1); inc <= 100; inc++ {
+		c.add("h", inc, map[release.RouteRelease]release.Counts{rr: {Requests: 1}})
+	}
+	if got, want := c.sum("s", "v2").Requests, uint64(100); got != want {
+		t.Errorf("got %d requests, want %d", got, want)
+	}
+	if got := len(c.hosts["h"]); got > maxIncarnations {
+		t.Errorf("got %d incarnations kept, want at most %d", got, maxIncarnations)
+	}
+}
