Reserve no more than the part of failure domains that are lost

After a region was lost, quotas would have shrunk: 18 hosts used 0.524 of a quota instead of 0.667, 48 hosts nothing, so all requests were refused.

Cause: hosts took the mean part that others reserve in an unheard failure domain for each of its hosts, weak ones too, reported the larger mean that resulted, and so raised each other's.

Change: the parts are raised in proportion, up to the mean, and only in failure domains of which no host has been in contact since this host's start; what was known from contact is never raised.

Test: TestLostRegionKeepsNoMoreThanItsPart failed for 18 and 48 hosts. TestQuotaHoldsWhileManyHostsJoinOneSide still fails without the raise.

--- a/pkg/coordination/roster/evenparts.go
+++ b/pkg/coordination/roster/evenparts.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"maps"
+
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -19,33 +21,50 @@
 
 // divide returns the current division. A host that is silent keeps the part that it had
 // when it was last in contact, because it may not know which hosts have joined or left
-// since. One that has not been in contact since this host started has the part that live
-// hosts reserve in its failure domain, if that is larger.
+// since. The hosts of a failure domain that has not been in contact since this host
+// started have what live hosts reserve for them, if that is larger.
 func (r *Roster) divide(now clock.Instant) division {
 	weights, total := r.weights(now)
 	v := division{weights, total, make(map[id.Host]float64, len(r.listed)), r.domainsInContact(now)}
+	contactParts := make(map[id.Host]float64, len(r.contactParts))
+	remembered := map[id.FailureDomain]bool{}
 	reserved := map[id.FailureDomain]float64{}
 	for _, m := range r.members() {
-		v.parts[m.ID] = weights[m.ID] / total
+		part := weights[m.ID] / total
 		h, known := r.states[m.ID]
 		live := known && h.isLive(now)
-		if last, known := r.lastEvenParts[m.ID]; known && (!live || r.hearsNot(&h.digest)) {
-			v.parts[m.ID] = last
+		if live {
+			for domain, mean := range h.digest.Unheard {
+				reserved[domain] = max(reserved[domain], mean)
+			}
 		}
-		if !live {
-			continue
+		last, contacted := r.contactParts[m.ID]
+		if contacted && (!live || r.hearsNot(&h.digest)) {
+			part = last
 		}
-		for domain, part := range h.digest.Unheard {
-			reserved[domain] = max(reserved[domain], part)
+		if contacted || live {
+			contactParts[m.ID] = part
+			remembered[m.FailureDomain] = true
 		}
+		v.parts[m.ID] = part
+	}
+	r.contactParts = contactParts
+	if len(reserved) > 0 {
+		maps.DeleteFunc(reserved, func(domain id.FailureDomain, _ float64) bool { return remembered[domain] })
+		r.raise(v, reserved)
 	}
+	return v
+}
+
+// raise raises the parts of the hosts of each failure domain, in proportion, until their
+// mean is the reserved one if that is larger.
+func (r *Roster) raise(v division, reserved map[id.FailureDomain]float64) {
+	means := r.unheardMeans(v)
 	for _, m := range r.members() {
-		if part := reserved[m.FailureDomain]; part > v.parts[m.ID] && !v.inContact[m.FailureDomain] {
-			v.parts[m.ID] = part
+		if mean := means[m.FailureDomain]; mean > 0 && reserved[m.FailureDomain] > mean {
+			v.parts[m.ID] *= reserved[m.FailureDomain] / mean
 		}
 	}
-	r.lastEvenParts = v.parts
-	return v
 }
 
 // domainsInContact returns the failure domains of this host and of the live ones.
@@ -74,6 +93,10 @@
 	if now.Sub(r.hubs.runningSince) < relayTimeout {
 		return nil
 	}
+	return r.unheardMeans(v)
+}
+
+func (r *Roster) unheardMeans(v division) map[id.FailureDomain]float64 {
 	out, hosts := map[id.FailureDomain]float64{}, map[id.FailureDomain]float64{}
 	for _, m := range r.members() {
 		if domain := m.FailureDomain; !v.inContact[domain] {
--- a/pkg/coordination/roster/lopsided_test.go
+++ b/pkg/coordination/roster/lopsided_test.go
@@ -108,3 +108,28 @@
 		}
 	}
 }
+
+// TestLostRegionKeepsNoMoreThanItsPart guards against parts that hosts reserve for a lost
+// region and that grow as they tell each other of them: the others must go on using all
+// but its part.
+func TestLostRegionKeepsNoMoreThanItsPart(t *testing.T) {
+	for _, perDomain := range []int{3, 8} {
+		t.Run(fmt.Sprint(6*perDomain, " hosts"), func(t *testing.T) {
+			c := newLopsidedCluster(t, perDomain)
+			c.run(20 * time.Second)
+			for _, h := range c.hosts {
+				h.down = h.Region == "r2"
+			}
+			c.run(100 * time.Second)
+			used := 0.0
+			for _, h := range c.hosts {
+				if !h.down {
+					used += h.report.Part[c.account.ID]
+				}
+			}
+			if want := 0.9 * 2 / 3; used < want {
+				t.Errorf("got a part of %.3f in use, want at least %.3f", used, want)
+			}
+		})
+	}
+}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -101,8 +101,9 @@
 	sorted []Member
 	// states also holds hosts that have sent a digest and are not listed.
 	states map[id.Host]*hostState
-	// lastEvenParts are the last even parts of the quotas of the listed hosts.
-	lastEvenParts map[id.Host]float64
+	// contactParts are the even parts of the quotas that the listed hosts had when they were
+	// last in contact.
+	contactParts map[id.Host]float64
 	// rounds counts the rounds of messages.
 	rounds int
 	hubs   hubs
