--- a/pkg/coordination/roster/evenparts.go
+++ b/pkg/coordination/roster/evenparts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
@@ -15,7 +16,7 @@
 	total   float64
 	// parts are the even parts of the other hosts.
 	parts map[id.Host]float64
-	// inContact are the failure domains of this host and of the live ones.
+	// inContact are the listed failure domains in which a host is live, and the own one.
 	inContact map[id.FailureDomain]bool
 }
 
@@ -67,12 +68,16 @@
 	}
 }
 
-// domainsInContact returns the failure domains of this host and of the live ones.
+// domainsInContact returns the listed failure domains in which a host is live, and this
+// host's own. It stops once it has found all, which is soon if most hosts are live.
 func (r *Roster) domainsInContact(now clock.Instant) map[id.FailureDomain]bool {
 	out := map[id.FailureDomain]bool{r.self.FailureDomain: true}
 	for _, h := range r.states {
-		if h.isLive(now) {
-			out[h.digest.Host.FailureDomain] = true
+		if len(out) == len(r.domains) {
+			break
+		}
+		if domain := h.digest.Host.FailureDomain; r.domains[domain] && h.isLive(now) {
+			out[domain] = true
 		}
 	}
 	return out
@@ -89,11 +94,13 @@
 
 // unheard returns the mean even part of the hosts of each failure domain of which no host
 // is live. It returns none while this host may not have heard from them yet.
-func (r *Roster) unheard(v division, now clock.Instant) map[id.FailureDomain]float64 {
-	if now.Sub(r.hubs.runningSince) < relayTimeout {
+func (r *Roster) unheard(now clock.Instant) map[id.FailureDomain]float64 {
+	inContact := r.domainsInContact(now)
+	isUnheard := func(m Member) bool { return !inContact[m.FailureDomain] }
+	if now.Sub(r.hubs.runningSince) < relayTimeout || !slices.ContainsFunc(r.members(), isUnheard) {
 		return nil
 	}
-	return r.unheardMeans(v)
+	return r.unheardMeans(r.divide(now))
 }
 
 func (r *Roster) unheardMeans(v division) map[id.FailureDomain]float64 {
--- a/pkg/coordination/roster/messages.go
+++ b/pkg/coordination/roster/messages.go
@@ -77,8 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.hubs.noteRound(now)
-	v := r.divide(now)
-	own.Unheard = r.unheard(v, now)
+	own.Unheard = r.unheard(now)
 	if r.meshed() {
 		return r.meshMessages(own), nil
 	}
@@ -107,7 +106,7 @@
 	withoutQuota := own
 	withoutQuota.Quota = quota.Report{}
 	if h.isHub(r.self.ID, now) {
-		messages = append(messages, r.hubMessages(&withoutQuota, &own, remoteHubs, v, accounts, now)...)
+		messages = append(messages, r.hubMessages(&withoutQuota, &own, remoteHubs, accounts, now)...)
 		if lost, ok := r.nextLostHost(now); ok && h.hub == r.self.ID {
 			connectIDs = append(connectIDs, lost)
 			messages = append(messages, Outgoing{To: []id.Host{lost}, Digest: &withoutQuota})
@@ -146,13 +145,13 @@
 
 // hubMessages returns the bulletins for the followers and for the other hubs. Their
 // digest is withoutQuota; the quota report of own goes into the totals of the region.
-func (r *Roster) hubMessages(withoutQuota, own *Digest, remoteHubs []id.Host, v division, accounts []*desired.Account, now clock.Instant) []Outgoing {
+func (r *Roster) hubMessages(withoutQuota, own *Digest, remoteHubs []id.Host, accounts []*desired.Account, now clock.Instant) []Outgoing {
 	h := &r.hubs
 	if h.hubSince == 0 {
 		h.hubSince = now
 	}
 	if now.Sub(h.hubSince) >= gatherDelay {
-		h.totals[r.self.Region] = regionTotals{Totals: r.sumRegion(own.Quota, v, accounts, now), receivedAt: now}
+		h.totals[r.self.Region] = regionTotals{Totals: r.sumRegion(own.Quota, accounts, now), receivedAt: now}
 	}
 	regional, global := Bulletin{Totals: map[id.Region]quota.Totals{}}, Bulletin{Totals: map[id.Region]quota.Totals{}}
 	for _, m := range r.members() {
--- a/pkg/coordination/roster/quotas.go
+++ b/pkg/coordination/roster/quotas.go
@@ -125,7 +125,8 @@
 }
 
 // sumRegion returns the totals of this host's region, this host included.
-func (r *Roster) sumRegion(own quota.Report, v division, accounts []*desired.Account, now clock.Instant) quota.Totals {
+func (r *Roster) sumRegion(own quota.Report, accounts []*desired.Account, now clock.Instant) quota.Totals {
+	v := r.divide(now)
 	t := r.sumReports(r.byRegion()[r.self.Region], v, accounts, now)
 	t.AddLive(own, v.weights[r.self.ID])
 	// Hosts that have not reported to this host keep the parts that the previous hub knew of.
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -97,6 +97,8 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	listed map[id.Host]Member
+	// domains are the failure domains of the listed hosts and of this one.
+	domains map[id.FailureDomain]bool
 	// sorted holds the listed members ordered by ID; it is replaced, never modified.
 	sorted []Member
 	// states also holds hosts that have sent a digest and are not listed.
@@ -132,7 +134,7 @@
 
 // New returns the roster of a host that knows only itself.
 func New(self Member, now clock.Instant) *Roster {
-	return &Roster{self: self, startedAt: now, listed: map[id.Host]Member{}, states: map[id.Host]*hostState{}, hubs: newHubs(now)}
+	return &Roster{self: self, startedAt: now, listed: map[id.Host]Member{}, domains: map[id.FailureDomain]bool{self.FailureDomain: true}, states: map[id.Host]*hostState{}, hubs: newHubs(now)}
 }
 
 // SetListed replaces the hosts that the store lists, and reports whether they are
@@ -141,9 +143,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed = map[id.Host]Member{}
+	r.domains = map[id.FailureDomain]bool{r.self.FailureDomain: true}
 	for _, m := range members {
 		if m.ID != r.self.ID {
 			r.listed[m.ID] = m
+			r.domains[m.FailureDomain] = true
 		}
 	}
 	r.sorted = slices.SortedFunc(maps.Values(r.listed), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
