Digests: name unheard failure domains in a way that earlier builds ignore

Change: the domains are keys of a map that digests have anyway, which earlier builds look up by the names of tables only. Figures in millionths; parts above one are refused.

--- a/internal/protocol/gossip/check.go
+++ b/internal/protocol/gossip/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 )
 
 // ErrRange is returned for a message with a number that its field cannot have. One that
@@ -24,8 +25,8 @@
 }
 
 // checkPart notes a number that is no part of a whole.
-func (r *ranges) checkPart(field string, got float32) {
-	if r.err == nil && !(got >= 0 && got <= 1) {
+func (r *ranges) checkPart(field string, got float64) {
+	if r.err == nil && got > 1 {
 		r.err = fmt.Errorf("%w: field %s: got %g", ErrRange, field, got)
 	}
 }
@@ -36,8 +37,10 @@
 	if d := e.Digest; d != nil {
 		r.check("digest.requests", d.RequestRate)
 		r.check("digest.capacity", float32(d.Capacity))
-		for _, part := range d.UnheardDomains {
-			r.checkPart("digest.unheard_domains", part)
+		for key, n := range d.CopyAges {
+			if strings.HasPrefix(key, unheardPrefix) {
+				r.checkPart("digest.ages_ms."+unheardPrefix, float64(n)*millionth)
+			}
 		}
 		for _, q := range d.Quotas {
 			r.check("digest.quotas.demand", q.Demand)
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"celerypin.example/celerypin/internal/protocol/codec"
@@ -68,10 +69,15 @@
 	RequestRate   float32                   `cbor:"requests"`
 	Outcomes      []outcome                 `cbor:"outcomes,omitempty"`
 	BadReleases   []releaseID               `cbor:"bad,omitempty"`
-	// UnheardDomains holds mean even parts of quotas by failure domain.
-	UnheardDomains map[id.FailureDomain]float32 `cbor:"unheard_domains,omitempty"`
 }
 
+// unheardPrefix begins the keys of CopyAges that name an unheard failure domain instead of
+// a table, with the mean even part of quotas in millionths. A field of its own would make
+// earlier builds refuse the whole digest; keys that name none of their tables they ignore.
+const unheardPrefix = "unheard/"
+
+const millionth = 1e-6
+
 // accountReport is what a host reports about the quota of one account. It is encoded as an
 // array, because a digest holds many.
 type accountReport struct {
@@ -182,10 +188,7 @@
 	out.Quotas = quotasToWire(d.Quota)
 	out.Outcomes, out.BadReleases = outcomesToWire(d.ReleaseCounts), releasesToWire(d.BadReleases)
 	for domain, part := range d.Unheard {
-		if out.UnheardDomains == nil {
-			out.UnheardDomains = map[id.FailureDomain]float32{}
-		}
-		out.UnheardDomains[domain] = float32(part)
+		out.CopyAges[unheardPrefix+string(domain)] = uint32(math.Round(part / millionth))
 	}
 	return out
 }
@@ -254,11 +257,12 @@
 		ReleaseCounts: outcomesFromWire(d.Outcomes), BadReleases: releasesFromWire(d.BadReleases),
 		Unheard: map[id.FailureDomain]float64{},
 	}
-	for domain, part := range d.UnheardDomains {
-		out.Unheard[domain] = float64(part)
-	}
-	for table, age := range d.CopyAges {
-		out.CopyAges[table] = time.Duration(age) * time.Millisecond
+	for key, n := range d.CopyAges {
+		if domain, found := strings.CutPrefix(key, unheardPrefix); found {
+			out.Unheard[id.FailureDomain(domain)] = float64(n) * millionth
+			continue
+		}
+		out.CopyAges[key] = time.Duration(n) * time.Millisecond
 	}
 	for _, q := range d.Quotas {
 		if q.Demand > 0 {
