Desired state: serve routes of kinds that this build does not know

Cause: a route of kind download, which a later build of the operator's tools writes, made ParseDesired refuse the whole state, so that a deployment with one such route served nothing. Change: download is idempotent with large answers. Requests of any other unknown kind are handled as not idempotent; a route without a known target refuses its requests. Both are listed in State.Unsupported and logged. Seen failing before: 'route large: field kind: got "download"'.

--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -262,6 +262,9 @@
 	c.divideQuotas(next, now)
 	c.host.state.Store(next)
 	c.upstreams.changed = true
+	for _, u := range next.Unsupported {
+		c.log.With("route", u.Route).With("field", u.Field).With("value", u.Value).Warn("A route has a value that this build does not know; its requests are handled as not idempotent, or refused if it names no service.")
+	}
 	c.log.With("state_version", next.Version).With("version", row.Version).With("routes", len(next.Routes)).Info("Desired state in force.")
 }
 
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -155,7 +155,10 @@
 // chooseTarget chooses one of a route's services at random, by weight. If all
 // weights are zero, it chooses the first one.
 func (s *Steerer[A]) chooseTarget(targets []desired.Target) id.Service {
-	if len(targets) == 1 {
+	switch len(targets) {
+	case 0:
+		return ""
+	case 1:
 		return targets[0].Service
 	}
 	sum := 0
--- a/pkg/state/desired/desired.go
+++ b/pkg/state/desired/desired.go
@@ -23,6 +23,11 @@
 	NonIdempotent
 	// Upload is NonIdempotent with a large body.
 	Upload
+	// Download is Idempotent with a large answer.
+	Download
+	// UnknownKind is a kind that this build does not know. Its requests are handled like
+	// NonIdempotent ones, which is safe for any kind.
+	UnknownKind
 )
 
 // Priority ranks requests; 0 is the most urgent.
@@ -57,7 +62,7 @@
 }
 
 // Retryable reports whether a request that may have run can be sent again.
-func (r *Route) Retryable() bool { return r.Kind == Idempotent }
+func (r *Route) Retryable() bool { return r.Kind == Idempotent || r.Kind == Download }
 
 // Account is a client account.
 type Account struct {
@@ -93,6 +98,14 @@
 	IdleTimeout   time.Duration
 }
 
+// Unsupported is a field of a route whose value this build does not know. The route is
+// served without it, in the way that is safe for any value.
+type Unsupported struct {
+	Route id.Route
+	Field string
+	Value string
+}
+
 // State is one desired state. Compile builds its indexes; after that it is immutable.
 type State struct {
 	Version  Version
@@ -100,6 +113,8 @@
 	Accounts []*Account
 	Services []*Service
 	Limits   Limits
+	// Unsupported are the parts of the state that this build does not know.
+	Unsupported []Unsupported `json:",omitempty"`
 
 	byVirtualHost map[string]map[string]*Route
 	byKey         map[string]*Account
