Load reports: count the requests of other hosts for five seconds

Reports lost their weight within 1.5 s, so each host saw an idle upstream and filled its queue: an expected load of 3 at upstreams that then took 1.5 s. Change: a report's weight decreases over 5 s. TestSharedUpstreamIsFullForSeldomReports failed before (got Chosen).

--- a/pkg/coordination/place/placer_test.go
+++ b/pkg/coordination/place/placer_test.go
@@ -209,3 +209,18 @@
 		t.Errorf("known object: got status %v, want %v", got, Chosen)
 	}
 }
+
+// TestSharedUpstreamIsFullForSeldomReports guards against queues that fill because a host
+// counts the requests of a dozen others as gone before it hears from the upstream again.
+func TestSharedUpstreamIsFullForSeldomReports(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(1, "a1"))
+	u := p.Upstreams()[0]
+	u.RecordReport(4, 8, now)
+	if _, got := p.Choose(newQuery("x"), now.Add(1300*time.Millisecond)); got != Full {
+		t.Errorf("got status %v 1.3 s after a report of 4 running and 8 waiting at 4 slots, want %v", got, Full)
+	}
+	if _, got := p.Choose(newQuery("x"), now.Add(maxReportAge)); got != Chosen {
+		t.Errorf("got status %v once the report is too old, want %v", got, Chosen)
+	}
+}
--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -83,8 +83,9 @@
 	// half, so that a slow upstream is tried again.
 	slownessHalvingAge = 5 * time.Second
 	// maxReportAge is the age at which a load report no longer counts; its weight
-	// decreases linearly until then.
-	maxReportAge = 1500 * time.Millisecond
+	// decreases linearly until then. Where a dozen hosts share an upstream, each gets about
+	// one report a second from it; requests of the others must not count as gone sooner.
+	maxReportAge = 5 * time.Second
 )
 
 // RecordReport records the load that the upstream reports: requests running and waiting,
