Placement: keep objects at their first owners under overload

Cause: if the first owners of an object were full, the request went to any upstream with room, where the object was unknown and took three times the slot time (760 ms instead of 228 ms). Change: beyond the first owners, only upstreams with half of their slots idle. TestOverloadKeepsObjectsAtTheirOwners failed before (got Chosen).

--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -233,17 +233,25 @@
 }
 
 // chooseIn returns the upstream of the list with the lowest expected cost, or nil.
-// It compares the first Policy.Candidates in the order of ownership, and goes on
-// until one is expected to answer in time. If none is, it returns one with a free
-// slot, because the estimate may be wrong and the slot is idle. It returns a cold
-// upstream only within that upstream's rate.
+// It compares the first Policy.Candidates in the order of ownership. If none of them is
+// expected to answer in time, it returns one with a free slot, because the estimate may be
+// wrong and the slot is idle. If they can take no request, it goes on to upstreams with
+// idle slots only: a request takes several times the slot time where its object is not
+// known, and displaces objects that are. Under overload, sending it to any upstream keeps
+// all objects unknown, and the overload does not end with the burst that caused it.
+// It returns a cold upstream only within that upstream's rate.
 func (p *Placer) chooseIn(list []*Upstream, q *Query, object uint64, t *timing, now clock.Instant) *Choice {
 	var best, idle *Choice
 	bestCost, idleCost := math.Inf(1), math.Inf(1)
 	penalty := 0.0
 	for i, u := range byOwnership(list, q, object, now) {
-		if i >= p.policy.Candidates && best != nil {
-			break
+		if i >= p.policy.Candidates {
+			if best != nil || idle != nil {
+				break
+			}
+			if u.Load(now) > p.policy.IdleLoad*float64(u.Info.Slots) {
+				continue
+			}
 		}
 		c, cost := p.estimate(u, q, object, t, penalty, now)
 		if i == 0 {
--- a/pkg/coordination/place/placer_test.go
+++ b/pkg/coordination/place/placer_test.go
@@ -224,3 +224,30 @@
 		t.Errorf("got status %v once the report is too old, want %v", got, Chosen)
 	}
 }
+
+// TestOverloadKeepsObjectsAtTheirOwners guards against an overload that does not end with the
+// burst that caused it: if the first owners of an object are full, another upstream gets the
+// request only while half of its slots are idle.
+func TestOverloadKeepsObjectsAtTheirOwners(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(6, "a1"))
+	q := newQuery("x")
+	ranked := byOwnership(p.Upstreams(), q, objectHash(q), now)
+	for i, u := range ranked {
+		switch {
+		case i < p.policy.Candidates:
+			u.RecordReport(u.Info.Slots, 3*u.Info.Slots, now)
+		default:
+			u.RecordReport(3, 0, now)
+		}
+	}
+	if c, got := p.Choose(q, now); got != Full {
+		t.Errorf("got status %v, upstream %v while no upstream has half of its slots idle, want %v", got, c.Upstream.Info.ID, Full)
+	}
+	idle := ranked[4]
+	idle.RecordReport(2, 0, now)
+	c, got := p.Choose(q, now)
+	if got != Chosen || c.Upstream.localState != idle.localState {
+		t.Errorf("got status %v, want the upstream with half of its slots idle", got)
+	}
+}
--- a/pkg/coordination/place/policy.go
+++ b/pkg/coordination/place/policy.go
@@ -15,9 +15,12 @@
 	// multiples of the latency for cold objects: the object takes up memory and slot
 	// time of the upstream.
 	ColdPenalty float64
+	// IdleLoad is the load of an upstream, in multiples of its slots, up to which it may take
+	// requests about objects of which it is not one of the first Candidates.
+	IdleLoad float64
 }
 
 // DefaultPolicy returns the policy that hosts use; see docs/LOAD.md.
 func DefaultPolicy() Policy {
-	return Policy{Candidates: 2, QueueDepth: 3, UnknownDepth: 1.5, ColdPenalty: 1}
+	return Policy{Candidates: 2, QueueDepth: 3, UnknownDepth: 1.5, ColdPenalty: 1, IdleLoad: 0.5}
 }
