--- a/cmd/celerypin/cmds/experiment.go
+++ b/cmd/celerypin/cmds/experiment.go
@@ -23,7 +23,7 @@
 		Usage: "simulate a load pattern under several policies, without a network",
 		Description: "Runs the hosts' decision code on a simulated clock and prints what callers\n" +
 			"observed. Equal seeds give equal results; without --seed they are drawn and printed.\n\n" +
-			"Patterns: " + joinNames(loadmodel.Patterns(), func(p loadmodel.Pattern) string { return p.Name }) + ".\n" +
+			"Patterns: " + joinNames(loadmodel.AllPatterns(), func(p loadmodel.Pattern) string { return p.Name }) + ".\n" +
 			"Policies: " + joinNames(loadmodel.Policies(), func(p loadmodel.NamedPolicy) string { return p.Name }) + ".\n\n" +
 			"Example: celerypin experiment --pattern burst --policy default --policy four_candidates --runs 5",
 		Flags: []cli.Flag{
--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celerypin.example/celerypin/pkg/coordination/steer"
+	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 )
 
@@ -40,7 +41,13 @@
 	account := m.drawAccount()
 	object := id.Object(fmt.Sprintf("%s-%d", c.Route, m.rng.IntN(c.Objects)))
 	host := m.drawHost()
+	m.sendTo(c, host, start, account, object)
+}
+
+// sendTo simulates a caller's request to a host with its retries.
+func (m *model) sendTo(c *class, host *entryHost, start clock.Instant, account id.Account, object id.Object) {
 	impatient := m.rng.Float64() < m.pattern.impatientFraction
+	retries := m.pattern.callerRetries(impatient)
 	for attempt := 0; ; attempt++ {
 		remaining := c.Deadline - m.now.Sub(start)
 		m.Sleep(context.Background(), callerLatency)
@@ -55,9 +62,10 @@
 		if impatient {
 			delay = impatientRetryDelay
 		}
-		retry := (notRun || (c.Idempotent && decision.Outcome != steer.Delivered)) && attempt < maxCallerRetries
+		retry := (notRun || (c.Idempotent && decision.Outcome != steer.Delivered)) && attempt < retries
 		if !retry || float64(delay) > maxWaitFraction*float64(c.Deadline-latency) {
 			m.record(c, account, host.region, decision.Outcome, decision.Reason, latency)
+			m.recordArrival(c, start, decision.Reason)
 			return
 		}
 		m.Sleep(context.Background(), delay)
--- a/internal/loadmodel/experiment.go
+++ b/internal/loadmodel/experiment.go
@@ -20,6 +20,8 @@
 	Name        string       `json:"name"`
 	Description string       `json:"tells"`
 	Policy      place.Policy `json:"policy"`
+	// Division is how hosts share what upstreams accept.
+	Division Division `json:"division,omitempty"`
 }
 
 // Policies returns all policies. The first is the one that hosts use.
@@ -27,9 +29,9 @@
 	variant := func(name, description string, modify func(*place.Policy)) NamedPolicy {
 		p := place.DefaultPolicy()
 		modify(&p)
-		return NamedPolicy{name, description, p}
+		return NamedPolicy{Name: name, Description: description, Policy: p}
 	}
-	return []NamedPolicy{
+	return append([]NamedPolicy{
 		variant("default", "as hosts decide", func(*place.Policy) {}),
 		variant("owner_only", "the owner of an object alone", func(p *place.Policy) { p.Candidates = 1 }),
 		variant("four_candidates", "four upstreams for each object", func(p *place.Policy) { p.Candidates = 4 }),
@@ -37,7 +39,7 @@
 		variant("shallow_unknown", "unknown objects never wait", func(p *place.Policy) { p.UnknownDepth = 1 }),
 		variant("free_cold", "a cold start elsewhere weighs nothing", func(p *place.Policy) { p.ColdPenalty = 0 }),
 		variant("dear_cold", "a cold start elsewhere weighs two cold runs", func(p *place.Policy) { p.ColdPenalty = 2 }),
-	}
+	}, divisionPolicies()...)
 }
 
 // PolicyByName returns the policy with the given name, or an error that matches
@@ -84,7 +86,7 @@
 	for _, p := range e.Policies {
 		policyRuns := PolicyRuns{Policy: p}
 		for _, seed := range e.Seeds {
-			policyRuns.Runs = append(policyRuns.Runs, run(e.Pattern, p.Policy, seed).withSummary())
+			policyRuns.Runs = append(policyRuns.Runs, run(e.Pattern, p.Policy, p.Division, seed).withSummary())
 		}
 		policyRuns.MeanEarned = policyRuns.mean(func(r *Result) float64 { return r.Earned })
 		policyRuns.MeanWorstRegion = policyRuns.mean(func(r *Result) float64 { return r.WorstRegion })
@@ -124,7 +126,10 @@
 			p.total(func(r *Result) int { return r.Refused }), p.total(func(r *Result) int { return r.Failed }),
 			p.total(func(r *Result) int { return r.OverQuota }))
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return c.writeOverload(w)
 }
 
 // WriteJSON writes the outcome with the results of all runs.
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -10,6 +10,7 @@
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/coordination/room"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
@@ -43,6 +44,7 @@
 type model struct {
 	*simulation
 	pattern   Pattern
+	division  Division
 	rng       *rand.Rand
 	state     *desired.State
 	upstreams []*upstream
@@ -51,6 +53,12 @@
 	// measuredFrom is the end of the warm-up, from which requests count.
 	measuredFrom clock.Instant
 	result       Result
+	// records are the counted requests, by which the upper bound is computed.
+	records []arrival
+	// capacity is the part of each step of boundStep that upstreams could work, in slots.
+	capacity []float64
+	// heard are the rates that hosts reported last, by region.
+	heard map[id.Region][]heardReport
 }
 
 // entryHost is one simulated entry host: the product's own decision code with its
@@ -63,24 +71,35 @@
 	shares *quota.Shares
 	// lastReport is the report that the other hosts use.
 	lastReport quota.Report
+	// division computes the host's parts of the upstreams, credits are those that
+	// upstreams have handed out.
+	division *room.Division
+	credits  map[id.Upstream]room.Places
 }
 
 // run simulates a pattern under a policy. Equal seeds give equal results.
-func run(p Pattern, policy place.Policy, seed uint64) Result {
+func run(p Pattern, policy place.Policy, division Division, seed uint64) Result {
 	m := &model{
-		simulation: newSimulation(), pattern: p, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
+		simulation: newSimulation(), pattern: p, division: division, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
 	}
 	m.measuredFrom = m.now.Add(p.WarmUp)
 	m.result = newResult(p.Duration)
-	m.state = desiredState()
+	m.state = desiredState(&p)
 	m.addUpstreams()
 	m.addHosts(policy)
 	m.every(exchangeInterval, m.exchangeReports)
 	m.after(p.WarmUp, m.applyPattern)
-	for i := range classes {
-		m.scheduleArrivals(&classes[i])
+	if p.overload != nil {
+		m.startOverload()
+	} else {
+		for i := range classes {
+			m.scheduleArrivals(&classes[i])
+		}
 	}
 	m.simulation.run(m.measuredFrom.Add(p.Duration))
+	if p.overload != nil {
+		m.result.UpperBound = m.upperBound()
+	}
 	return m.result
 }
 
@@ -101,7 +120,8 @@
 
 // desiredState returns the desired state with the routes, services and accounts of
 // the simulated deployment.
-func desiredState() *desired.State {
+func desiredState(p *Pattern) *desired.State {
+	classes := p.classes()
 	s := &desired.State{Version: 1}
 	rate := 0.0
 	for i := range classes {
@@ -119,6 +139,9 @@
 	}
 	for n := range accounts {
 		accountRate := rate * accountFraction(n) * quotaFactor
+		if p.unlimitedAccounts() {
+			accountRate = manyAccountRate
+		}
 		s.Accounts = append(s.Accounts, &desired.Account{ID: accountID(n), Keys: []string{string(accountID(n))}, Rate: accountRate, Burst: accountRate})
 	}
 	return s.Compile()
@@ -127,7 +150,7 @@
 func (m *model) addUpstreams() {
 	for r := range regions {
 		for d := range domainsPerRegion {
-			for _, g := range groups {
+			for _, g := range m.pattern.groups() {
 				count := g.Count
 				if r == 0 {
 					count = max(int(math.Round(float64(count)*m.pattern.thinFraction)), 1)
@@ -143,7 +166,7 @@
 func (m *model) addUpstream(g group, r, d int) *upstream {
 	name := id.Upstream(fmt.Sprintf("upstream-%d", len(m.upstreams)))
 	u := &upstream{
-		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1,
+		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1, demand: map[*entryHost]int{},
 		info: fleet.Upstream{
 			ID: name, Service: g.Service, Release: currentRelease, Region: regionID(r), FailureDomain: domainID(r, d),
 			Address: string(name), Slots: g.Slots, State: fleet.UpstreamLive, Incarnation: 1,
@@ -157,7 +180,7 @@
 func (m *model) addHosts(policy place.Policy) {
 	for r := range regions {
 		for d := range domainsPerRegion {
-			for range hostsPerDomain {
+			for range m.pattern.hostsIn(r, d) {
 				m.addHost(r, d, policy)
 			}
 		}
@@ -178,6 +201,7 @@
 
 func (m *model) addHost(r, d int, policy place.Policy) {
 	h := &entryHost{region: regionID(r), domain: domainID(r, d), placer: place.New(regionID(r), domainID(r, d), maxShift, policy)}
+	h.division, h.credits = room.New(id.Host(fmt.Sprint(len(m.hosts)))), map[id.Upstream]room.Places{}
 	h.shares = quota.New(quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, m.now)
 	splits := release.NewSplits()
 	h.Steerer = steer.New(steer.Dependencies[struct{}]{
@@ -202,15 +226,17 @@
 		demand[r] /= sum
 	}
 	listings := m.listingsByRegion()
+	m.exchangeRates()
 	for _, h := range m.hosts {
 		peerTotals := quota.NewTotals()
-		for _, other := range m.hosts {
+		for _, other := range m.limitedHosts() {
 			if other != h {
 				peerTotals.AddLive(other.lastReport, 1)
 			}
 		}
 		h.shares.Rebalance(m.state.Accounts, quota.NewPeers(peerTotals, 1, 1/float64(len(m.hosts))), m.now)
 		h.placer.Update(listings[h.region], demand, m.now)
+		m.applyParts(h)
 	}
 	for _, h := range m.hosts {
 		h.lastReport = h.shares.NextReport()
@@ -230,7 +256,7 @@
 			}
 			l := place.Listing{Info: u.info, ColdUntil: u.coldUntil}
 			if u.info.Region == own {
-				l.ColdPerSecond = coldPerSecond / (domainsPerRegion * hostsPerDomain)
+				l.ColdPerSecond = coldPerSecond / float64(m.pattern.hostsIn(r, 0)+m.pattern.hostsIn(r, 1))
 			}
 			out[own] = append(out[own], l)
 		}
@@ -296,8 +322,10 @@
 	}
 	deadline := m.now.Add(params.Remaining)
 	m.Sleep(ctx, latency)
-	j := &job{class: classOf(r), object: r.Object, deadline: deadline, caller: m.current}
-	if !u.enqueue(j) {
+	j := &job{class: m.classOf(r), object: r.Object, deadline: deadline, caller: m.current}
+	accepted := u.enqueue(j)
+	m.countUpstreamArrival(accepted)
+	if !accepted {
 		j.outcome = outcomeShed
 	} else {
 		m.yield()
@@ -305,6 +333,10 @@
 	running, waiting := u.load()
 	m.Sleep(ctx, latency)
 	e := steer.Exchange[struct{}]{HasLoad: true, Running: running, Waiting: waiting, ReusedConnection: true}
+	if o := m.pattern.overload; o != nil {
+		e.Pace = place.Pace(o.statedPace(u, m.now))
+		m.handOutCredit(s.host, u, params.Upstream)
+	}
 	switch j.outcome {
 	case outcomeShed:
 		e.Result = steer.Shed
@@ -318,7 +350,8 @@
 
 // classOf returns the class of a request, whose path is the prefix of the class's
 // route.
-func classOf(r *steer.Request) *class {
+func (m *model) classOf(r *steer.Request) *class {
+	classes := m.pattern.classes()
 	for i := range classes {
 		if r.Path == "/"+string(classes[i].Route)+"/" {
 			return &classes[i]
--- a/internal/loadmodel/pattern.go
+++ b/internal/loadmodel/pattern.go
@@ -67,6 +67,8 @@
 	domainLost bool
 	// thinFraction is the fraction of its usual upstreams that the first region has.
 	thinFraction float64
+	// overload describes the load of a pattern of overload, nil for the others.
+	overload *overload
 }
 
 const (
@@ -118,7 +120,7 @@
 // PatternByName returns the pattern with the given name, or an error that matches
 // ErrUnknownName.
 func PatternByName(name string) (Pattern, error) {
-	for _, p := range Patterns() {
+	for _, p := range AllPatterns() {
 		if p.Name == name {
 			return p, nil
 		}
--- a/internal/loadmodel/result.go
+++ b/internal/loadmodel/result.go
@@ -29,6 +29,17 @@
 	// MedianMs and P99Ms are latencies of the answered requests, in milliseconds.
 	MedianMs int64 `json:"median_ms"`
 	P99Ms    int64 `json:"p99_ms"`
+	// The following fields are set for patterns of overload only. UpperBound is the fraction
+	// of the worth that one scheduler with full knowledge would earn at most, LastEarned the
+	// fraction earned in the last recoverySeconds.
+	UpperBound float64 `json:"upper_bound,omitempty"`
+	LastEarned float64 `json:"last_earned,omitempty"`
+	// UpstreamArrivals counts the requests that reached upstreams, TurnedAway those of them
+	// that the upstreams did not accept.
+	UpstreamArrivals int `json:"upstream_arrivals,omitempty"`
+	TurnedAway       int `json:"turned_away,omitempty"`
+	// ReportBytes is the size of the messages that the division of room has added.
+	ReportBytes int `json:"report_bytes,omitempty"`
 
 	all       worth
 	byRegion  map[id.Region]*worth
@@ -107,6 +118,15 @@
 			r.WorstAccount = min(r.WorstAccount, w.fraction())
 		}
 	}
+	if r.UpperBound > 0 {
+		var last worth
+		end := len(r.bySecond) - 1
+		for _, w := range r.bySecond[end-recoverySeconds : end] {
+			last.earned += w.earned
+			last.total += w.total
+		}
+		r.LastEarned = last.fraction()
+	}
 	for i := range r.bySecond {
 		if r.bySecond[i].total >= minWorth {
 			r.WorstSecond = min(r.WorstSecond, r.bySecond[i].fraction())
--- a/internal/loadmodel/upstream.go
+++ b/internal/loadmodel/upstream.go
@@ -30,6 +30,12 @@
 	// coldUntil is the end of the slow phase after a start.
 	coldUntil clock.Instant
 	served    int
+	// noisy is set if the upstream is slower in alternating periods, which begin at phase.
+	noisy bool
+	phase time.Duration
+	// demand counts the requests of each host in the current and the last interval, by
+	// which the upstream divides its room.
+	demand, lastDemand map[*entryHost]int
 }
 
 // job is one request at an upstream.
@@ -133,7 +139,7 @@
 	if u.sim.now < u.coldUntil {
 		serviceTime *= coldFactor
 	}
-	return time.Duration(serviceTime * u.slowdown)
+	return u.elapsed(time.Duration(serviceTime * u.slowdown))
 }
 
 // markWarm records the use of an object, and evicts the least recently used one if
