--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -97,6 +97,8 @@
 	conn  *websocket.Conn
 	queue chan []byte
 	stop  context.CancelFunc
+	// framed is set if both ends know framedProtocol.
+	framed bool
 }
 
 // New returns a mesh without connections.
@@ -195,9 +197,15 @@
 		m.log.With("error", err).Error("A message could not be encoded.")
 		return
 	}
+	// The frame is made once, and only if a link needs it.
+	frame := sync.OnceValue(func() []byte { return pack(data) })
 	for _, l := range links {
+		out := data
+		if l.framed {
+			out = frame()
+		}
 		select {
-		case l.queue <- data:
+		case l.queue <- out:
 		default:
 		}
 	}
@@ -245,7 +253,9 @@
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{tokenHeader: {m.token}, "Celerypin-From": {string(m.self)}, "Celerypin-To": {string(h)}}
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+host.Path, &websocket.DialOptions{HTTPClient: m.client, HTTPHeader: header})
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+host.Path, &websocket.DialOptions{
+		HTTPClient: m.client, HTTPHeader: header, Subprotocols: []string{framedProtocol},
+	})
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			m.events.ConnectionRefused(h)
@@ -270,7 +280,7 @@
 		return
 	}
 	defer m.running.Done()
-	conn, err := websocket.Accept(w, r, nil)
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{framedProtocol}})
 	if err != nil {
 		return
 	}
@@ -294,7 +304,7 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	defer cancel()
 	conn.SetReadLimit(host.MaxMessageBytes)
-	l := &link{conn: conn, queue: make(chan []byte, maxQueuedMessages), stop: cancel}
+	l := &link{conn: conn, queue: make(chan []byte, maxQueuedMessages), stop: cancel, framed: conn.Subprotocol() == framedProtocol}
 	m.replace(h, l)
 	defer m.remove(h, l)
 	var writer sync.WaitGroup
@@ -357,7 +367,7 @@
 		m.receivedBytes.Inc(int64(len(data)))
 		accepted := true
 		// After a panic the next message is read: others may be sound.
-		m.guard.Run(taskMessage, func() { accepted = m.accept(h, data) })
+		m.guard.Run(taskMessage, func() { accepted = m.acceptFrom(h, l, data) })
 		if !accepted {
 			m.log.With("host", h).Warn("A malformed or misaddressed message closed the connection.")
 			return
@@ -365,6 +375,17 @@
 	}
 }
 
+// acceptFrom unpacks and accepts a message that was received on a link.
+func (m *Mesh[M]) acceptFrom(h id.Host, l *link, data []byte) bool {
+	if l.framed {
+		var err error
+		if data, err = unpack(data); err != nil {
+			return false
+		}
+	}
+	return m.accept(h, data)
+}
+
 // accept passes on a message from a host. It reports whether the message is well-formed
 // and addressed to this host.
 func (m *Mesh[M]) accept(h id.Host, data []byte) bool {
