Messages between hosts: ignore unknown fields

Cause: the CBOR decoder returned an error for a field that it does not know, so that a host dropped every message of a later build that added a field, and with the message the connection. Change: unknown fields are ignored, at any depth. Names match exactly: an added field that differs from a known one in case only is not taken for it. FuzzUnknownField of gossip and host adds a field to each map of each message; seen failing before: 'cbor: found unknown field at map element index 1'.

--- a/internal/protocol/codec/codec.go
+++ b/internal/protocol/codec/codec.go
@@ -39,8 +39,8 @@
 	return v, nil
 }
 
-// CBOR encodes messages in CBOR. Nesting and sizes are limited, and unknown fields and
-// duplicate keys are errors.
+// CBOR encodes messages in CBOR. Unknown fields are ignored: a later build of the writer may
+// have added them. Nesting and sizes are limited, and duplicate keys are errors.
 type CBOR[T any] struct{}
 
 // Limits of a decoded CBOR message.
@@ -51,8 +51,9 @@
 
 var cborDecoder = mustDecMode(cbor.DecOptions{
 	MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
-	DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	TextUnmarshaler: cbor.TextUnmarshalerTextString,
+	DupMapKey: cbor.DupMapKeyEnforcedAPF, TextUnmarshaler: cbor.TextUnmarshalerTextString,
+	// An added field must not be taken for a known one that differs in case only.
+	FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 })
 
 var cborEncoder = mustEncMode(cbor.EncOptions{Sort: cbor.SortCoreDeterministic, TextMarshaler: cbor.TextMarshalerTextString})
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celerypin.example/celerypin/internal/golden"
+	"celerypin.example/celerypin/internal/protocol/codec/codectest"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/coordination/roster"
@@ -131,6 +132,32 @@
 	t.Logf("a bulletin of %d hosts and %d accounts has %d bytes", hosts, accounts, len(data))
 }
 
+// dataMaps are the fields of messages whose keys are data.
+var dataMaps = []string{"versions", "changed", "ages_ms", "totals"}
+
+// FuzzUnknownField guards against a host that drops the messages of a later build because
+// of a field that the later build added.
+func FuzzUnknownField(f *testing.F) {
+	f.Add("later", []byte("x"))
+	f.Add("DIGEST", []byte{})
+	f.Fuzz(func(t *testing.T, name string, value []byte) {
+		if !codectest.IsUnknown(name) {
+			return
+		}
+		for _, e := range examples() {
+			data, err := Codec{}.Encode("host-a", "host-b", e.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, later := range codectest.CBOR(name, dataMaps...).AddField(t, data, value) {
+				if _, _, got, err := (Codec{}).Decode(later); err != nil || !reflect.DeepEqual(got, e.message) {
+					t.Errorf("%s with field %q: got %+v, %v, want %+v", e.name, name, got, err, e.message)
+				}
+			}
+		}
+	})
+}
+
 // FuzzDecode decodes arbitrary bytes. A message that is accepted must be encodable again.
 func FuzzDecode(f *testing.F) {
 	for _, e := range examples() {
--- a/internal/protocol/host/host_test.go
+++ b/internal/protocol/host/host_test.go
@@ -11,6 +11,7 @@
 
 	"celerypin.example/celerypin/internal/golden"
 	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/internal/protocol/codec/codectest"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/config"
@@ -92,6 +93,29 @@
 	}
 }
 
+// FuzzUnknownField guards against a host that drops the messages of a later build because
+// of a field that the later build added, to a message or to a row in it.
+func FuzzUnknownField(f *testing.F) {
+	f.Add("later", []byte("x"))
+	f.Add("HEARTBEAT", []byte{})
+	f.Fuzz(func(t *testing.T, name string, value []byte) {
+		if !codectest.IsUnknown(name) {
+			return
+		}
+		for _, e := range examples() {
+			data, err := Encode("host-a", "host-b", e.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, later := range codectest.CBOR(name).AddField(t, data, value) {
+				if _, _, got, err := Decode(later); err != nil || !reflect.DeepEqual(got, e.message) {
+					t.Errorf("%s with field %q: got %+v, %v, want %+v", e.name, name, got, err, e.message)
+				}
+			}
+		}
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, e := range examples() {
 		data, err := Encode("a", "b", e.message)
