Messages between hosts: ignore unknown elements of arrays

Cause: the CBOR library decodes an array into a struct only if the numbers of elements are equal, so that an element which a later build appends to the report of an account or an outcome made the whole message malformed. Change: lists of such arrays are codec.Arrays, which ignores elements after the known ones. Shorter arrays and wrong types are still malformed. TestUnknownElements of gossip and host, seen failing before: 'cannot decode CBOR array to struct with different number of elements'.

--- a/internal/protocol/gossip/bulletin.go
+++ b/internal/protocol/gossip/bulletin.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -19,21 +20,21 @@
 // notice has numbers for the names of its fields in the encoding, because a bulletin holds
 // many.
 type notice struct {
-	Host         id.Host        `cbor:"1,keyasint"`
-	Incarnation  id.Incarnation `cbor:"2,keyasint,omitempty"`
-	AgeMS        uint32         `cbor:"3,keyasint,omitempty"`
-	Leaving      bool           `cbor:"4,keyasint,omitempty"`
-	ReadsFailing bool           `cbor:"5,keyasint,omitempty"`
-	RequestRate  float32        `cbor:"6,keyasint,omitempty"`
-	Outcomes     []outcome      `cbor:"7,keyasint,omitempty"`
-	BadReleases  []releaseID    `cbor:"8,keyasint,omitempty"`
+	Host         id.Host                 `cbor:"1,keyasint"`
+	Incarnation  id.Incarnation          `cbor:"2,keyasint,omitempty"`
+	AgeMS        uint32                  `cbor:"3,keyasint,omitempty"`
+	Leaving      bool                    `cbor:"4,keyasint,omitempty"`
+	ReadsFailing bool                    `cbor:"5,keyasint,omitempty"`
+	RequestRate  float32                 `cbor:"6,keyasint,omitempty"`
+	Outcomes     codec.Arrays[outcome]   `cbor:"7,keyasint,omitempty"`
+	BadReleases  codec.Arrays[releaseID] `cbor:"8,keyasint,omitempty"`
 }
 
 type totals struct {
-	Weight     float32        `cbor:"weight"`
-	Unreported float32        `cbor:"unheard,omitempty"`
-	Stale      bool           `cbor:"stale,omitempty"`
-	Accounts   []accountTotal `cbor:"accounts"`
+	Weight     float32                    `cbor:"weight"`
+	Unreported float32                    `cbor:"unheard,omitempty"`
+	Stale      bool                       `cbor:"stale,omitempty"`
+	Accounts   codec.Arrays[accountTotal] `cbor:"accounts"`
 }
 
 type accountTotal struct {
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -51,24 +51,24 @@
 }
 
 type digest struct {
-	Incarnation   id.Incarnation            `cbor:"incarnation"`
-	Sequence      id.Sequence               `cbor:"sequence"`
-	Region        id.Region                 `cbor:"region"`
-	FailureDomain id.FailureDomain          `cbor:"failure_domain"`
-	Address       string                    `cbor:"address"`
-	Capacity      unit.PerSecond            `cbor:"capacity,omitempty"`
-	Leaving       bool                      `cbor:"leaving,omitempty"`
-	Follows       bool                      `cbor:"follows,omitempty"`
-	HoldsPool     bool                      `cbor:"pool,omitempty"`
-	QuotaKept     bool                      `cbor:"quotas_kept,omitempty"`
-	Versions      map[string]mirror.Version `cbor:"versions,omitempty"`
-	LastChange    map[string]mirror.Version `cbor:"changed,omitempty"`
-	CopyAges      map[string]uint32         `cbor:"ages_ms,omitempty"`
-	ReadsFailing  bool                      `cbor:"failing,omitempty"`
-	Quotas        []accountReport           `cbor:"quotas,omitempty"`
-	RequestRate   float32                   `cbor:"requests"`
-	Outcomes      []outcome                 `cbor:"outcomes,omitempty"`
-	BadReleases   []releaseID               `cbor:"bad,omitempty"`
+	Incarnation   id.Incarnation              `cbor:"incarnation"`
+	Sequence      id.Sequence                 `cbor:"sequence"`
+	Region        id.Region                   `cbor:"region"`
+	FailureDomain id.FailureDomain            `cbor:"failure_domain"`
+	Address       string                      `cbor:"address"`
+	Capacity      unit.PerSecond              `cbor:"capacity,omitempty"`
+	Leaving       bool                        `cbor:"leaving,omitempty"`
+	Follows       bool                        `cbor:"follows,omitempty"`
+	HoldsPool     bool                        `cbor:"pool,omitempty"`
+	QuotaKept     bool                        `cbor:"quotas_kept,omitempty"`
+	Versions      map[string]mirror.Version   `cbor:"versions,omitempty"`
+	LastChange    map[string]mirror.Version   `cbor:"changed,omitempty"`
+	CopyAges      map[string]uint32           `cbor:"ages_ms,omitempty"`
+	ReadsFailing  bool                        `cbor:"failing,omitempty"`
+	Quotas        codec.Arrays[accountReport] `cbor:"quotas,omitempty"`
+	RequestRate   float32                     `cbor:"requests"`
+	Outcomes      codec.Arrays[outcome]       `cbor:"outcomes,omitempty"`
+	BadReleases   codec.Arrays[releaseID]     `cbor:"bad,omitempty"`
 }
 
 // unheardPrefix begins the keys of CopyAges that name an unheard failure domain instead of
@@ -105,11 +105,11 @@
 }
 
 type rows struct {
-	Table   string         `cbor:"table"`
-	Base    mirror.Version `cbor:"base"`
-	Version mirror.Version `cbor:"version"`
-	Full    bool           `cbor:"full,omitempty"`
-	Rows    []row          `cbor:"rows"`
+	Table   string            `cbor:"table"`
+	Base    mirror.Version    `cbor:"base"`
+	Version mirror.Version    `cbor:"version"`
+	Full    bool              `cbor:"full,omitempty"`
+	Rows    codec.Arrays[row] `cbor:"rows"`
 }
 
 type row struct {
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celerypin.example/celerypin/internal/golden"
+	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/internal/protocol/codec/codectest"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
@@ -158,6 +159,30 @@
 	})
 }
 
+// TestUnknownElements guards against a host that drops the messages of a later build because
+// its arrays have more elements, or that takes a shorter or wrong array for a sound one.
+func TestUnknownElements(t *testing.T) {
+	for _, e := range examples() {
+		data, err := Codec{}.Encode("host-a", "host-b", e.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		later := codectest.CBOR("").AddElement(t, data, map[string]any{"x": []int{1}})
+		if _, _, got, err := (Codec{}).Decode(later); err != nil || !reflect.DeepEqual(got, e.message) {
+			t.Errorf("%s: got %+v, %v, want %+v", e.name, got, err, e.message)
+		}
+	}
+	for name, quotas := range map[string]any{"shorter": []any{"choir", 2.5}, "wrong type": []any{"choir", "x", 0.5, "later"}} {
+		data, err := cbor.Marshal(map[string]any{"from": "a", "to": "b", "digest": map[string]any{"quotas": []any{quotas}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := (Codec{}).Decode(data); !errors.Is(err, codec.ErrMalformed) {
+			t.Errorf("%s array: got error %v, want ErrMalformed", name, err)
+		}
+	}
+}
+
 // FuzzDecode decodes arbitrary bytes. A message that is accepted must be encodable again.
 func FuzzDecode(f *testing.F) {
 	for _, e := range examples() {
--- a/internal/protocol/gossip/tokens.go
+++ b/internal/protocol/gossip/tokens.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/unit"
@@ -19,9 +20,9 @@
 }
 
 type tokens struct {
-	Deposits []deposit `cbor:"deposits,omitempty"`
-	Asks     []ask     `cbor:"asks,omitempty"`
-	Grants   []grant   `cbor:"grants,omitempty"`
+	Deposits codec.Arrays[deposit] `cbor:"deposits,omitempty"`
+	Asks     codec.Arrays[ask]     `cbor:"asks,omitempty"`
+	Grants   codec.Arrays[grant]   `cbor:"grants,omitempty"`
 }
 
 type deposit struct {
--- a/internal/protocol/host/host.go
+++ b/internal/protocol/host/host.go
@@ -42,21 +42,21 @@
 }
 
 type heartbeat struct {
-	Incarnation     id.Incarnation   `cbor:"incarnation"`
-	Region          id.Region        `cbor:"region"`
-	FailureDomain   id.FailureDomain `cbor:"failure_domain"`
-	Leaving         bool             `cbor:"leaving,omitempty"`
-	Sent            int64            `cbor:"sent_ns"`
-	Echo            int64            `cbor:"echo_ns,omitempty"`
-	EchoDelay       int64            `cbor:"echo_held_ns,omitempty"`
-	ReadAge         *int64           `cbor:"read_age_ns,omitempty"`
-	TableReadAge    *int64           `cbor:"up_age_ns,omitempty"`
-	TableRefusedAge *int64           `cbor:"out_age_ns,omitempty"`
-	Complete        table.Revision   `cbor:"complete"`
-	Config          table.Revision   `cbor:"config"`
-	Marks           *marks           `cbor:"marks,omitempty"`
-	Budgets         []budgetReport   `cbor:"levels,omitempty"`
-	Outcomes        []outcome        `cbor:"outcomes,omitempty"`
+	Incarnation     id.Incarnation             `cbor:"incarnation"`
+	Region          id.Region                  `cbor:"region"`
+	FailureDomain   id.FailureDomain           `cbor:"failure_domain"`
+	Leaving         bool                       `cbor:"leaving,omitempty"`
+	Sent            int64                      `cbor:"sent_ns"`
+	Echo            int64                      `cbor:"echo_ns,omitempty"`
+	EchoDelay       int64                      `cbor:"echo_held_ns,omitempty"`
+	ReadAge         *int64                     `cbor:"read_age_ns,omitempty"`
+	TableReadAge    *int64                     `cbor:"up_age_ns,omitempty"`
+	TableRefusedAge *int64                     `cbor:"out_age_ns,omitempty"`
+	Complete        table.Revision             `cbor:"complete"`
+	Config          table.Revision             `cbor:"config"`
+	Marks           *marks                     `cbor:"marks,omitempty"`
+	Budgets         codec.Arrays[budgetReport] `cbor:"levels,omitempty"`
+	Outcomes        codec.Arrays[outcome]      `cbor:"outcomes,omitempty"`
 }
 
 // budgetReport is encoded as an array, because a heartbeat holds many.
--- a/internal/protocol/host/host_test.go
+++ b/internal/protocol/host/host_test.go
@@ -116,6 +116,20 @@
 	})
 }
 
+// TestUnknownElements guards against a host that drops the heartbeats of a later build
+// because the arrays in them have more elements.
+func TestUnknownElements(t *testing.T) {
+	e := examples()[0]
+	data, err := Encode("host-a", "host-b", e.message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := codectest.CBOR("").AddElement(t, data, "x")
+	if _, _, got, err := Decode(later); err != nil || !reflect.DeepEqual(got, e.message) {
+		t.Errorf("got %+v, %v, want %+v", got, err, e.message)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, e := range examples() {
 		data, err := Encode("a", "b", e.message)
