Messages between hosts: drop one of an unknown kind alone

Cause: the mesh closed the connection at each message that holds nothing it knows, so that a host of a later build that sends a new kind of message lost its connection and what was queued on it each time. Change: such a message is dropped and counted (hosts.messages_unknown) if its sender and addressee are right. A malformed or misaddressed one still closes the connection. TestUnknownMessageKeepsTheConnection, seen failing before: 'unknown kind: got accepted false, want true'.

--- a/internal/protocol/codec/codec.go
+++ b/internal/protocol/codec/codec.go
@@ -10,8 +10,13 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// ErrMalformed is the sentinel of all decoding errors.
-var ErrMalformed = errors.New("malformed message")
+// Sentinels of decoding errors.
+var (
+	// ErrMalformed means that the message is not a value of its type.
+	ErrMalformed = errors.New("malformed message")
+	// ErrUnknown means that a sound message holds nothing that this build knows.
+	ErrUnknown = errors.New("message of an unknown kind")
+)
 
 // Codec encodes and decodes messages of type T.
 type Codec[T any] interface {
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -4,7 +4,6 @@
 package gossip
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"math"
@@ -22,8 +21,8 @@
 	"celerypin.example/celerypin/pkg/state/unit"
 )
 
-// ErrEmpty is returned for a message without content.
-var ErrEmpty = errors.New("message holds nothing")
+// ErrEmpty is returned for a message without content that this build knows.
+var ErrEmpty = fmt.Errorf("%w: it holds nothing known", codec.ErrUnknown)
 
 // Rows holds changes of a table.
 type Rows struct {
--- a/internal/protocol/host/host.go
+++ b/internal/protocol/host/host.go
@@ -3,7 +3,6 @@
 package host
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -23,8 +22,8 @@
 // MaxMessageBytes is the largest message that is accepted, in bytes.
 const MaxMessageBytes = 8 << 20
 
-// ErrEmpty is returned for a message without content.
-var ErrEmpty = errors.New("message holds nothing")
+// ErrEmpty is returned for a message without content that this build knows.
+var ErrEmpty = fmt.Errorf("%w: it holds nothing known", codec.ErrUnknown)
 
 // Envelope is one message with its sender and its addressee. The addressee is included so
 // that a connection to an address that another host has taken over is detected.
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -55,7 +55,8 @@
 	ConnectionRefused(h id.Host)
 }
 
-// Codec encodes and decodes messages with their sender and addressee.
+// Codec encodes and decodes messages with their sender and addressee. Decode returns both,
+// and codec.ErrUnknown, also for a message of an unknown kind.
 type Codec[M any] interface {
 	Encode(from, to id.Host, m M) ([]byte, error)
 	Decode(data []byte) (from, to id.Host, m M, err error)
@@ -79,6 +80,8 @@
 	// sentBytes and receivedBytes count encoded messages.
 	sentBytes     metrics.Counter
 	receivedBytes metrics.Counter
+	// unknownMessages counts the messages of kinds that this build does not know.
+	unknownMessages metrics.Counter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -108,9 +111,10 @@
 		self: self, token: fleetToken(secret), codec: codec, events: events, log: log, clock: c, guard: g,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHandshakeBytes}},
 		ctx:    ctx, cancel: cancel,
-		sentBytes:     metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
-		receivedBytes: metrics.NewRegisteredCounter("hosts.bytes_received", registry),
-		addresses:     map[id.Host]string{}, links: map[id.Host]*link{}, dialing: map[id.Host]bool{},
+		sentBytes:       metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
+		receivedBytes:   metrics.NewRegisteredCounter("hosts.bytes_received", registry),
+		unknownMessages: metrics.NewRegisteredCounter("hosts.messages_unknown", registry),
+		addresses:       map[id.Host]string{}, links: map[id.Host]*link{}, dialing: map[id.Host]bool{},
 	}
 }
 
@@ -347,44 +351,3 @@
 	defer cancel()
 	return conn.Write(ctx, websocket.MessageBinary, data) == nil
 }
-
-func (m *Mesh[M]) receive(ctx context.Context, h id.Host, l *link) {
-	for {
-		data, err := readMessage(ctx, l.conn)
-		if err != nil {
-			return
-		}
-		m.receivedBytes.Inc(int64(len(data)))
-		accepted := true
-		// After a panic the next message is read: others may be sound.
-		m.guard.Run(taskMessage, func() { accepted = m.accept(h, data) })
-		if !accepted {
-			m.log.With("host", h).Warn("A malformed or misaddressed message closed the connection.")
-			return
-		}
-	}
-}
-
-// accept passes on a message from a host. It reports whether the message is well-formed
-// and addressed to this host.
-func (m *Mesh[M]) accept(h id.Host, data []byte) bool {
-	from, to, message, err := m.codec.Decode(data)
-	if err != nil || from != h || (to != m.self && to != anyHost) {
-		return false
-	}
-	m.events.Received(from, message)
-	return true
-}
-
-// Tasks to which panics are confined.
-const (
-	taskConnection confine.Task = "host connection"
-	taskMessage    confine.Task = "host message"
-)
-
-func readMessage(ctx context.Context, conn *websocket.Conn) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	_, data, err := conn.Read(ctx)
-	return data, err
-}
--- a/internal/transport/host/mesh_test.go
+++ b/internal/transport/host/mesh_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 
 	"celerypin.example/celerypin/internal/faultnet"
@@ -211,3 +212,30 @@
 		t.Errorf("got %d panics, want %d", got, want)
 	}
 }
+
+// TestUnknownMessageKeepsTheConnection guards against a connection to a host of a later
+// build that closes at each message of a new kind, which also loses the queued others.
+func TestUnknownMessageKeepsTheConnection(t *testing.T) {
+	m := New[agent.Message]("a", []byte("secret"), host.Codec{}, &recorder{}, logging.Discard(), clock.System{}, nil, metrics.NewRegistry())
+	defer m.Close()
+	for _, c := range []struct {
+		name, from, to string
+		want           bool
+	}{
+		{"unknown kind", "b", "a", true},
+		{"to any host", "b", "", true},
+		{"of another sender", "c", "a", false},
+		{"to another host", "b", "c", false},
+	} {
+		data, err := cbor.Marshal(map[string]any{"from": c.from, "to": c.to, "later": 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := m.accept("b", data); got != c.want {
+			t.Errorf("%s: got accepted %t, want %t", c.name, got, c.want)
+		}
+	}
+	if got := m.unknownMessages.Count(); got != 2 {
+		t.Errorf("got %d unknown messages, want 2", got)
+	}
+}
