JSON of other programs: ignore unknown fields

Cause: codec.JSON refused unknown fields in all that it decoded. A table service that added a field to its answers was taken for unavailable, reports of upstreams with a new field were ignored, so that a draining upstream got requests, and the operator's and the callers' clients could not read answers of a later host. Change: codec.JSON ignores unknown fields. codec.StrictJSON, for the stand-ins, and settings.Decode, for settings and the bodies that operators send, still refuse them.

--- a/internal/protocol/codec/codec.go
+++ b/internal/protocol/codec/codec.go
@@ -24,7 +24,8 @@
 	Decode([]byte) (T, error)
 }
 
-// JSON encodes messages in JSON. Unknown fields and trailing data are errors.
+// JSON encodes messages in JSON. Unknown fields are ignored: a later build of the writer may
+// have added them. Trailing data is an error. It is for messages of other programs.
 type JSON[T any] struct{}
 
 // Encode encodes v.
@@ -32,9 +33,22 @@
 
 // Decode decodes exactly one value.
 func (JSON[T]) Decode(data []byte) (T, error) {
-	var v T
+	return decodeJSON[T](json.NewDecoder(bytes.NewReader(data)))
+}
+
+// StrictJSON is JSON with unknown fields as errors, for input that people write: there an
+// unknown field is a spelling mistake. settings.Decode also lists all mistakes of a document.
+type StrictJSON[T any] struct{ JSON[T] }
+
+// Decode decodes exactly one value.
+func (StrictJSON[T]) Decode(data []byte) (T, error) {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
+	return decodeJSON[T](decoder)
+}
+
+func decodeJSON[T any](decoder *json.Decoder) (T, error) {
+	var v T
 	if err := decoder.Decode(&v); err != nil {
 		return v, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
--- a/internal/protocol/platform/platform_test.go
+++ b/internal/protocol/platform/platform_test.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 
 	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/internal/protocol/codec/codectest"
 	"celerypin.example/celerypin/pkg/state/config"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/key"
@@ -82,3 +85,24 @@
 		}
 	}
 }
+
+// FuzzUnknownField guards against a host that can no longer read the table because a later
+// build of another host, or of the table service, added a field to a row.
+func FuzzUnknownField(f *testing.F) {
+	f.Add("", "x")
+	f.Fuzz(func(t *testing.T, name, value string) {
+		changes := table.Changes{After: 1, Revision: 1 << 20, Rows: []table.Row{hostRow(), budgetRow(2), configRow(2)}}
+		data, err := codec.JSON[table.Changes]{}.Encode(changes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, later := range codectest.JSON("later"+name).AddField(t, data, value) {
+			if got, err := (codec.JSON[table.Changes]{}).Decode(later); err != nil || !reflect.DeepEqual(got, changes) {
+				t.Errorf("got %+v, %v, want %+v", got, err, changes)
+			}
+			if _, err := (codec.StrictJSON[table.Changes]{}).Decode(later); !errors.Is(err, codec.ErrMalformed) {
+				t.Errorf("got strict error %v, want ErrMalformed", err)
+			}
+		}
+	})
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -297,11 +297,13 @@
 	route.WriteJSON(w, http.StatusOK, platform.Counts{Reads: reads, Writes: writes})
 }
 
+// decodeBody strictly decodes the body of a request, so that a misspelt field of the client
+// under test or of a test's fault shows.
 func decodeBody[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxObjectBytes))
 	var v T
 	if err == nil {
-		v, err = codec.JSON[T]{}.Decode(data)
+		v, err = codec.StrictJSON[T]{}.Decode(data)
 	}
 	if err != nil {
 		route.WriteJSON(w, http.StatusBadRequest, platform.Error{Message: err.Error()})
