--- a/pkg/coordination/limit/limit.go
+++ b/pkg/coordination/limit/limit.go
@@ -62,6 +62,11 @@
 	}
 }
 
+// WouldTake reports whether Take would admit an event at now. It changes nothing.
+func (b *Bucket) WouldTake(now clock.Instant) bool {
+	return b.interval.Load() != 0 && b.Delay(now) == 0
+}
+
 // Delay returns the time until Take may admit an event, or one second if the rate is 0.
 func (b *Bucket) Delay(now clock.Instant) time.Duration {
 	interval := b.interval.Load()
@@ -115,6 +120,13 @@
 	}
 }
 
+// WouldTake reports whether Take would admit an extra event after one more Earn. It changes
+// nothing.
+func (r *Ratio) WouldTake() bool {
+	level := r.level.Load()
+	return max(level, min(level+r.earning, r.capacity.Load())) >= ratioUnit
+}
+
 // Take reports whether an extra event is admitted, and counts it.
 func (r *Ratio) Take() bool {
 	for {
--- a/pkg/coordination/place/choice.go
+++ b/pkg/coordination/place/choice.go
@@ -24,6 +24,9 @@
 	Tried []*Upstream
 	// BodyBytes is the size of the request's body.
 	BodyBytes int64
+
+	// dryRun is set while Survey runs.
+	dryRun *dryRun
 }
 
 func (q *Query) allows(region id.Region) bool { return !q.HasHomes || slices.Contains(q.Homes, region) }
--- a/pkg/coordination/place/localshare.go
+++ b/pkg/coordination/place/localshare.go
@@ -80,15 +80,36 @@
 // sets the share to goal; steps that follow sooner than shareStepInterval do nothing.
 func (s *localShare) step(goal float64, now clock.Instant) {
 	last := s.steppedAt.Load()
-	elapsed := now.Sub(clock.Instant(last))
-	if (last != 0 && elapsed < shareStepInterval) || !s.steppedAt.CompareAndSwap(last, int64(now)) {
+	if !stepDue(last, now) || !s.steppedAt.CompareAndSwap(last, int64(now)) {
 		return
 	}
 	if last == 0 {
 		s.store(goal)
 		return
 	}
-	short, enough := s.short.Swap(0), s.enough.Swap(0)
+	s.store(s.next(goal, now.Sub(clock.Instant(last)), s.short.Swap(0), s.enough.Swap(0)))
+}
+
+// stepDue reports whether a step may follow the last one.
+func stepDue(last int64, now clock.Instant) bool {
+	return last == 0 || now.Sub(clock.Instant(last)) >= shareStepInterval
+}
+
+// preview returns the share that a request would see after its step.
+func (s *localShare) preview(goal float64, now clock.Instant) float64 {
+	last := s.steppedAt.Load()
+	switch {
+	case last == 0:
+		return goal
+	case !stepDue(last, now):
+		return s.load()
+	}
+	return s.next(goal, now.Sub(clock.Instant(last)), s.short.Load(), s.enough.Load())
+}
+
+// next returns the share that follows the current one after elapsed, with the given counts
+// of placements.
+func (s *localShare) next(goal float64, elapsed time.Duration, short, enough int64) float64 {
 	maxChange := s.maxChangePerSecond * min(elapsed, time.Second).Seconds()
 	share := s.load()
 	switch {
@@ -99,5 +120,5 @@
 	case share > goal:
 		share -= min(maxChange, share-goal)
 	}
-	s.store(min(max(share, 0), 1))
+	return min(max(share, 0), 1)
 }
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -182,11 +182,10 @@
 	if s == nil || s.releases[q.Release] == nil {
 		return nil, NoUpstream
 	}
-	s.localShare.step(s.localGoal, now)
-	s.localShare.overflow.Earn()
+	q.dryRun.begin(s, now)
 	g := s.releases[q.Release]
 	object := objectHash(q)
-	t := p.timings.get(q.Service, q.Route)
+	t := q.dryRun.timing(p.timings, q)
 	order := p.regionOrder(s, g, q, object)
 	if len(order) == 0 {
 		return nil, NoUpstream
@@ -194,15 +193,15 @@
 	for i, region := range order {
 		c := p.chooseIn(g[region], q, object, t, now)
 		if region == p.region {
-			s.localShare.countPlacement(c == nil || c.wait > q.Route.Objective/4)
+			q.dryRun.countPlacement(s, c == nil || c.wait > q.Route.Objective/4)
 		}
 		if c == nil {
 			continue
 		}
-		if i > 0 && !p.mayOverflow(s, region, g) {
+		if i > 0 && !p.mayOverflow(s, region, g, q) {
 			continue
 		}
-		c.Upstream.inFlight.Add(1)
+		q.dryRun.takeSlot(c.Upstream)
 		return c, Chosen
 	}
 	return nil, Full
@@ -254,6 +253,7 @@
 		if c != nil {
 			c.rank = i
 		}
+		q.dryRun.compared(u, c)
 		switch {
 		case c == nil:
 		case c.Expected() <= q.Remaining && cost < bestCost:
@@ -265,7 +265,7 @@
 	if best == nil {
 		best = idle
 	}
-	if best == nil || !best.Upstream.Cold(now) || best.Upstream.coldBucket.Take(now) {
+	if best == nil || !best.Upstream.Cold(now) || q.dryRun.takeCold(best.Upstream, now) {
 		return best
 	}
 	return p.chooseIn(without(list, best.Upstream), q, object, t, now)
--- a/pkg/coordination/place/regions.go
+++ b/pkg/coordination/place/regions.go
@@ -33,11 +33,11 @@
 // first in its order. That is always allowed if the host's own region or to has no
 // live upstream, otherwise only for a few requests, so that overflow is served
 // without moving much at once.
-func (p *Placer) mayOverflow(s *pool, to id.Region, g group) bool {
+func (p *Placer) mayOverflow(s *pool, to id.Region, g group, q *Query) bool {
 	if !hasLive(g[p.region]) || !hasLive(g[to]) {
 		return true
 	}
-	return s.localShare.overflow.Take()
+	return q.dryRun.takeOverflow(s, to)
 }
 
 // regionOrder returns the regions to try. The own region is the first one for the
@@ -78,7 +78,7 @@
 		}
 	})
 	local := len(allowed) > 1 && allowed[0] == p.region
-	localPart := s.localShare.load()
+	localPart := q.dryRun.localPart(s)
 	if q.BodyBytes >= largeBody {
 		localPart *= largeBodyLocalFactor
 	}
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -105,8 +105,14 @@
 	if !sh.limited.Load() || sh.bucket.Spend(unit.Token, now) {
 		return true, 0
 	}
-	rate := max(float64(sh.bucket.Share().Rate)/float64(unit.Token), minRetryRate)
-	return false, time.Duration(float64(time.Second) / rate)
+	rate, _ := s.Share(account)
+	return false, retryDelay(rate)
+}
+
+// retryDelay returns how long a client should wait that finds a share of the given rate
+// used up.
+func retryDelay(rate float64) time.Duration {
+	return time.Duration(float64(time.Second) / max(rate, minRetryRate))
 }
 
 // Share returns this host's share of an account's rate and burst, in requests per
--- a/pkg/coordination/release/split.go
+++ b/pkg/coordination/release/split.go
@@ -38,8 +38,13 @@
 
 // Next returns the release for the next request. Of any n consecutive requests at
 // this host the new release gets at most n times its share plus one. It takes no lock.
-func (s Split) Next() id.Release {
-	n := s.count.Add(1)
+func (s Split) Next() id.Release { return s.nth(s.count.Add(1)) }
+
+// Peek returns what Next would return now. It counts nothing.
+func (s Split) Peek() id.Release { return s.nth(s.count.Load() + 1) }
+
+// nth returns the release for the nth request.
+func (s Split) nth(n uint64) id.Release {
 	share := uint64(s.Share)
 	if n*share/uint64(table.Whole) > (n-1)*share/uint64(table.Whole) {
 		return s.New
