--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -32,6 +32,8 @@
 	// newConnection reports whether the next attempt must not use a pooled
 	// connection, because one failed in the last attempt.
 	newConnection bool
+	// dryRun is set if the request is not sent and must change nothing.
+	dryRun bool
 }
 
 // Delays after which clients of refused requests are asked to retry.
@@ -187,7 +189,7 @@
 	case !isSplit:
 		d.release = approved
 	case d.release == "":
-		d.release = split.Next()
+		d.release = d.nextRelease(split)
 	case split.Share < wholeShare:
 		d.release = split.Old
 	default:
