--- a/cmd/celerypin/cmds/cmds.go
+++ b/cmd/celerypin/cmds/cmds.go
@@ -75,7 +75,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), standinCommand(), demoCommand(),
-			lookupCommand(), configCommand(), keyCommand(), hostsCommand(), versionCommand(), shiftCommand(), timelineCommand(), explainCommand(), experimentCommand(),
+			lookupCommand(), configCommand(), keyCommand(), hostsCommand(), versionCommand(), shiftCommand(), timelineCommand(), explainCommand(), experimentCommand(), whereCommand(),
 		},
 	}
 	wrapUsageErrors(app)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/uptrace/bunrouter"
 
+	"celerypin.example/celerypin/internal/protocol/where"
 	"celerypin.example/celerypin/internal/transport/route"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 )
@@ -63,6 +64,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = w.Write([]byte(h.metricsText()))
 	}))
+	router.GET(where.Path, route.Handler(h.serveWhere))
 	return router
 }
 
--- a/pkg/coordination/place/survey.go
+++ b/pkg/coordination/place/survey.go
@@ -175,3 +175,12 @@
 	}
 	return len(d.regions)
 }
+
+// Compared reports whether the choice compared the upstream with others.
+func (c *Candidate) Compared() bool {
+	switch c.Excluded {
+	case ExcludedNot, ExcludedFull, ExcludedCold, ExcludedOverflow, ExcludedLate, ExcludedCost:
+		return true
+	}
+	return false
+}
