--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -12,6 +12,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"celerypin.example/celerypin/internal/golden"
+	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/internal/protocol/codec/codectest"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/coordination/roster"
@@ -131,6 +133,42 @@
 	t.Logf("a bulletin of %d hosts and %d accounts has %d bytes", hosts, accounts, len(data))
 }
 
+// FuzzUnknown guards against a host that drops the messages of a later build because of
+// fields, or of elements of arrays, that the later build added.
+func FuzzUnknown(f *testing.F) {
+	f.Add("later", []byte("x"))
+	f.Add("DIGEST", []byte{})
+	f.Fuzz(func(t *testing.T, name string, value []byte) {
+		if !codectest.IsUnknown(name) {
+			return
+		}
+		later := codectest.Later{Key: name, Value: value, DataMaps: []string{"versions", "changed", "ages_ms", "totals"}}
+		for _, e := range examples() {
+			data, err := Codec{}.Encode("host-a", "host-b", e.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, _, got, err := (Codec{}).Decode(later.CBOR(t, data)); err != nil || !reflect.DeepEqual(got, e.message) {
+				t.Errorf("%s with field %q: got %+v, %v, want %+v", e.name, name, got, err, e.message)
+			}
+		}
+	})
+}
+
+// TestOddArraysAreMalformed guards against a shorter or wrong array that is taken for one of
+// a later build.
+func TestOddArraysAreMalformed(t *testing.T) {
+	for name, quotas := range map[string]any{"shorter": []any{"choir", 2.5}, "wrong type": []any{"choir", "x", 0.5, "later"}} {
+		data, err := cbor.Marshal(map[string]any{"from": "a", "to": "b", "digest": map[string]any{"quotas": []any{quotas}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := (Codec{}).Decode(data); !errors.Is(err, codec.ErrMalformed) {
+			t.Errorf("%s array: got error %v, want ErrMalformed", name, err)
+		}
+	}
+}
+
 // FuzzDecode decodes arbitrary bytes. A message that is accepted must be encodable again.
 func FuzzDecode(f *testing.F) {
 	for _, e := range examples() {
--- a/internal/protocol/host/host_test.go
+++ b/internal/protocol/host/host_test.go
@@ -11,6 +11,7 @@
 
 	"celerypin.example/celerypin/internal/golden"
 	"celerypin.example/celerypin/internal/protocol/codec"
+	"celerypin.example/celerypin/internal/protocol/codec/codectest"
 	"celerypin.example/celerypin/pkg/coordination/agent"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/config"
@@ -92,6 +93,28 @@
 	}
 }
 
+// FuzzUnknown guards against a host that drops the messages of a later build because of
+// fields, or of elements of arrays, that the later build added to a message or a row in it.
+func FuzzUnknown(f *testing.F) {
+	f.Add("later", []byte("x"))
+	f.Add("HEARTBEAT", []byte{})
+	f.Fuzz(func(t *testing.T, name string, value []byte) {
+		if !codectest.IsUnknown(name) {
+			return
+		}
+		for _, e := range examples() {
+			data, err := Encode("host-a", "host-b", e.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			later := codectest.Later{Key: name, Value: value}.CBOR(t, data)
+			if _, _, got, err := Decode(later); err != nil || !reflect.DeepEqual(got, e.message) {
+				t.Errorf("%s with field %q: got %+v, %v, want %+v", e.name, name, got, err, e.message)
+			}
+		}
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, e := range examples() {
 		data, err := Encode("a", "b", e.message)
