--- a/internal/loadmodel/division.go
+++ b/internal/loadmodel/division.go
@@ -10,6 +10,7 @@
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/room"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 )
 
@@ -25,8 +26,8 @@
 	// DivisionCredits is one by the upstream, which states with each answer how many
 	// requests the host may have there.
 	DivisionCredits Division = "credits"
-	// DivisionSampled asks upstreams for their load with each request, so that the
-	// reports by which a host chooses are younger.
+	// DivisionSampled asks upstreams for their load before a request, if the last report
+	// is old.
 	DivisionSampled Division = "sampled"
 )
 
@@ -37,16 +38,21 @@
 	// question for the load and its answer, without those of the lower layers.
 	creditBytes = 20
 	probeBytes  = 100
-	// probesPerRequest is the number of upstreams asked with each request.
+	// probesPerRequest is the number of upstreams asked for a request at most, maxSampleAge
+	// the age of a report from which they are asked: about the time of one known request.
 	probesPerRequest = 2
+	maxSampleAge     = 200 * time.Millisecond
 )
 
 // divisionPolicies returns the default placement with each division.
 func divisionPolicies() []NamedPolicy {
+	ownerOnly := place.DefaultPolicy()
+	ownerOnly.Candidates = 1
 	return []NamedPolicy{
 		{"room_parts", "hosts divide what upstreams accept by their request rates", place.DefaultPolicy(), DivisionParts},
+		{"room_parts_owner", "the same with the owner of an object alone", ownerOnly, DivisionParts},
 		{"upstream_credits", "upstreams tell each host how many requests it may send", place.DefaultPolicy(), DivisionCredits},
-		{"sampled_reports", "hosts ask two upstreams for their load with each request", place.DefaultPolicy(), DivisionSampled},
+		{"sampled_reports", "hosts ask two upstreams for their load, if the last report is old", place.DefaultPolicy(), DivisionSampled},
 	}
 }
 
@@ -59,11 +65,12 @@
 func (m *model) applyParts(h *entryHost) {
 	switch m.division {
 	case DivisionParts:
-		parts := h.division.Parts(m.now)
+		parts := map[id.Region]room.Parts{}
+		for region, d := range h.divisions {
+			parts[region] = d.Parts(m.now)
+		}
 		for _, u := range h.placer.Upstreams() {
-			if u.Info.Region == h.region {
-				u.SetPart(parts.Of(u.Info.ID, roomOf(u.Info.Slots)))
-			}
+			u.SetPart(parts[u.Info.Region].Of(u.Info.ID, roomOf(u.Info.Slots)))
 		}
 	case DivisionCredits:
 		for _, u := range h.placer.Upstreams() {
@@ -74,30 +81,62 @@
 	}
 }
 
-// heardReport is a rate as the other hosts of a region hear it.
+// heardReport is a host's request rate as the other hosts hear it, by the region in which
+// the requests are expected to run.
 type heardReport struct {
-	host id.Host
-	rate room.Rate
-	at   clock.Instant
+	host  id.Host
+	rates map[id.Region]room.Rate
+	at    clock.Instant
 }
 
-// exchangeRates gives each host the rates that the other hosts of its region reported
-// one interval ago.
-func (m *model) exchangeRates() {
+// exchangeRates gives each host the rates that the other hosts reported one interval ago.
+// Demand is each region's part of all requests.
+func (m *model) exchangeRates(demand map[id.Region]float64) {
 	if m.division != DivisionParts {
 		return
 	}
 	for _, h := range m.hosts {
-		for _, r := range m.heard[h.region] {
-			h.division.Observe(r.host, r.rate, r.at)
+		for _, r := range m.heard {
+			for region, rate := range r.rates {
+				h.divisions[region].Observe(r.host, rate, r.at)
+			}
 		}
 	}
-	m.heard = map[id.Region][]heardReport{}
+	m.heard = nil
+	shares := m.regionShares(demand)
 	for i, h := range m.hosts {
-		rate := room.Rate(h.shares.RequestRate())
-		h.division.Sent(rate, m.now)
-		m.heard[h.region] = append(m.heard[h.region], heardReport{id.Host(fmt.Sprint(i)), rate, m.now})
+		report := heardReport{id.Host(fmt.Sprint(i)), map[id.Region]room.Rate{}, m.now}
+		for region, d := range h.divisions {
+			report.rates[region] = room.Rate(h.shares.RequestRate() * shares[[2]id.Region{h.region, region}])
+			d.Sent(report.rates[region], m.now)
+		}
+		m.heard = append(m.heard, report)
+	}
+}
+
+// minOverflow is the part of a region's requests for which the other regions provide at
+// least: the placement lets 3 % overflow and moves the rest in small steps.
+const minOverflow = 0.06
+
+// regionShares returns which part of a region's requests is expected to run in each region,
+// by the slots and the demand that all hosts know.
+func (m *model) regionShares(demand map[id.Region]float64) map[[2]id.Region]float64 {
+	slots, total := map[id.Region]float64{}, 0.0
+	for _, u := range m.upstreams {
+		if u.info.State == fleet.UpstreamLive {
+			slots[u.info.Region] += float64(u.info.Slots)
+			total += float64(u.info.Slots)
+		}
 	}
+	out := map[[2]id.Region]float64{}
+	for from := range demand {
+		away := max(1-slots[from]/total/max(demand[from], 0.01), minOverflow)
+		for to := range demand {
+			out[[2]id.Region{from, to}] = away * slots[to] / max(total-slots[from], 1)
+		}
+		out[[2]id.Region{from, from}] = 1 - away
+	}
+	return out
 }
 
 // handOutCredit counts a host's demand at an upstream and states the host's part, by the
@@ -129,18 +168,21 @@
 	}
 }
 
-// sampleReports records the present load of a few upstreams of the host's region.
-func (m *model) sampleReports(h *entryHost) {
-	var own []*place.Upstream
-	for _, u := range h.placer.Upstreams() {
-		if u.Info.Region == h.region {
-			own = append(own, u)
+// sampleReports asks the upstreams that the host would choose for a request for their load,
+// if the last report is older than maxSampleAge. The question takes no time here.
+func (m *model) sampleReports(h *entryHost, c *class, object id.Object) {
+	q := &place.Query{Service: c.Service, Release: currentRelease, Route: m.state.Routes[0], Object: object, Remaining: c.Timeout}
+	for range probesPerRequest {
+		choice, status := h.placer.Choose(q, m.now)
+		if status != place.Chosen {
+			return
 		}
-	}
-	for range min(probesPerRequest, len(own)) {
-		u := own[m.rng.IntN(len(own))]
-		running, waiting := m.byID[u.Info.ID].load()
-		u.RecordReport(running, waiting, m.now)
+		choice.Done()
+		if _, age := choice.Load(m.now); age <= maxSampleAge {
+			return
+		}
+		running, waiting := m.byID[choice.Upstream.Info.ID].load()
+		choice.Upstream.RecordReport(running, waiting, m.now)
 		m.countBytes(probeBytes)
 	}
 }
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -57,8 +57,8 @@
 	records []arrival
 	// capacity is the part of each step of boundStep that upstreams could work, in slots.
 	capacity []float64
-	// heard are the rates that hosts reported last, by region.
-	heard map[id.Region][]heardReport
+	// heard are the rates that hosts reported last.
+	heard []heardReport
 }
 
 // entryHost is one simulated entry host: the product's own decision code with its
@@ -71,10 +71,10 @@
 	shares *quota.Shares
 	// lastReport is the report that the other hosts use.
 	lastReport quota.Report
-	// division computes the host's parts of the upstreams, credits are those that
-	// upstreams have handed out.
-	division *room.Division
-	credits  map[id.Upstream]room.Places
+	// divisions compute the host's parts of the upstreams of each region, credits are
+	// those that upstreams have handed out.
+	divisions map[id.Region]*room.Division
+	credits   map[id.Upstream]room.Places
 }
 
 // run simulates a pattern under a policy. Equal seeds give equal results.
@@ -201,7 +201,10 @@
 
 func (m *model) addHost(r, d int, policy place.Policy) {
 	h := &entryHost{region: regionID(r), domain: domainID(r, d), placer: place.New(regionID(r), domainID(r, d), maxShift, policy)}
-	h.division, h.credits = room.New(id.Host(fmt.Sprint(len(m.hosts)))), map[id.Upstream]room.Places{}
+	h.divisions, h.credits = map[id.Region]*room.Division{}, map[id.Upstream]room.Places{}
+	for region := range regions {
+		h.divisions[regionID(region)] = room.New(id.Host(fmt.Sprint(len(m.hosts))))
+	}
 	h.shares = quota.New(quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, m.now)
 	splits := release.NewSplits()
 	h.Steerer = steer.New(steer.Dependencies[struct{}]{
@@ -226,7 +229,7 @@
 		demand[r] /= sum
 	}
 	listings := m.listingsByRegion()
-	m.exchangeRates()
+	m.exchangeRates(demand)
 	for _, h := range m.hosts {
 		peerTotals := quota.NewTotals()
 		for _, other := range m.limitedHosts() {
--- a/internal/loadmodel/overload_run.go
+++ b/internal/loadmodel/overload_run.go
@@ -67,7 +67,7 @@
 	}
 	host := m.hosts[first+m.rng.IntN(m.pattern.hostsIn(r, d))]
 	if m.division == DivisionSampled {
-		m.sampleReports(host)
+		m.sampleReports(host, c, object)
 	}
 	m.sendTo(c, host, start, account, object)
 }
