--- a/internal/loadmodel/bound.go
+++ b/internal/loadmodel/bound.go
@@ -18,6 +18,8 @@
 type arrival struct {
 	at   clock.Instant
 	work float64
+	// begun is set once the bound has worked on the request.
+	begun bool
 }
 
 // recordArrival notes a request that counts towards the worth.
@@ -25,7 +27,7 @@
 	if m.pattern.overload == nil || m.now < m.measuredFrom || reason == steer.ReasonQuota {
 		return
 	}
-	m.records = append(m.records, arrival{at, float64(knownTime(c))})
+	m.records = append(m.records, arrival{at: at, work: float64(knownTime(c))})
 }
 
 // sampleCapacity notes how many slots of the usual speed the upstreams have now.
@@ -42,7 +44,8 @@
 // upperBound returns the fraction of the worth of the counted requests that one scheduler
 // with full knowledge would earn at most. It is optimistic: all slots form one pool that
 // any request may use in any part, all objects are known, the network takes no time, no
-// request of the warm-up is left, and upstreams queue without limit. Requests of equal
+// request of the warm-up is left, upstreams queue without limit, and a request that is
+// begun in time counts as answered in time. Requests of equal
 // work, worth and objective are then best served in the order of their arrival, leaving
 // out those whose objective has passed; these get what capacity is left.
 func (m *model) upperBound() float64 {
@@ -58,11 +61,11 @@
 			next++
 		}
 		work := slots * float64(boundStep)
-		for len(waiting) > 0 && waiting[0].at.Add(c.Objective) <= now {
+		for len(waiting) > 0 && !waiting[0].begun && waiting[0].at.Add(c.Objective) <= now {
 			late, waiting = append(late, waiting[0]), waiting[1:]
 		}
 		waiting = serve(waiting, &work, &earned, c.Worth)
-		for len(late) > 0 && late[0].at.Add(c.Deadline) <= now {
+		for len(late) > 0 && !late[0].begun && late[0].at.Add(c.Deadline) <= now {
 			late = late[1:]
 		}
 		late = serve(late, &work, &earned, c.LateWorth)
@@ -75,6 +78,7 @@
 	for len(list) > 0 && *work > 0 {
 		done := min(*work, list[0].work)
 		*work -= done
+		list[0].begun = true
 		if list[0].work -= done; list[0].work <= 0 {
 			*earned += worth
 			list = list[1:]
