--- a/internal/loadmodel/overload.go
+++ b/internal/loadmodel/overload.go
@@ -84,10 +84,10 @@
 		{Name: "noisy", Description: "15 in 100 upstreams are 2.5 times slower in alternating periods of 600 ms and say so", overload: &overload{noisyFraction: 0.15, paceStated: true}},
 		{Name: "noisy_unstated", Description: "the same, but they do not say so", overload: &overload{noisyFraction: 0.15}},
 		{Name: "drained", Description: "a failure domain is drained under load", overload: &overload{drained: true}},
+		{Name: "hosts_9", Description: "the metastable pattern with 9 hosts", overload: &overload{burstFactor: 1.7, hosts: 9, unlimited: true}},
 		{Name: "hosts_94", Description: "the metastable pattern with 94 hosts", overload: &overload{burstFactor: 1.7, hosts: 94, unlimited: true}},
 		{Name: "hosts_195", Description: "the metastable pattern with 195 hosts", overload: &overload{burstFactor: 1.7, hosts: 195, unlimited: true}},
 		{Name: "hosts_2500", Description: "the metastable pattern with 2,500 hosts", overload: &overload{burstFactor: 1.7, hosts: 2500, unlimited: true}},
-		{Name: "hosts_9", Description: "the metastable pattern with 9 hosts", overload: &overload{burstFactor: 1.7, hosts: 9, unlimited: true}},
 	}
 	for i := range list {
 		p, o := &list[i], list[i].overload
