Placement: upstreams beyond the first owners need a recent report of idle slots

Cause: an upstream from which a host has not heard counted as idle, so under overload requests still went to upstreams that do not know their object. Change: beyond the first owners, only upstreams whose report is younger than 250 ms, about the time of a request, count as idle. TestOverloadKeepsObjectsAtTheirOwners has the case; it failed before.

--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -239,8 +239,8 @@
 // chooseIn returns the upstream of the list with the lowest expected cost, or nil.
 // It compares the first Policy.Candidates in the order of ownership. If none of them is
 // expected to answer in time, it returns one with a free slot, because the estimate may be
-// wrong and the slot is idle. If they can take no request, it goes on to upstreams with
-// idle slots only: a request takes several times the slot time where its object is not
+// wrong and the slot is idle. If they can take no request, it goes on to upstreams that
+// have just reported idle slots: a request takes several times the slot time where its object is not
 // known, and displaces objects that are. Under overload, sending it to any upstream keeps
 // all objects unknown, and the overload does not end with the burst that caused it.
 // It returns a cold upstream only within that upstream's rate.
@@ -253,7 +253,7 @@
 			if best != nil || idle != nil {
 				break
 			}
-			if u.Load(now) > p.policy.IdleLoad*float64(u.Info.Slots) {
+			if !u.reportedIdle(p.policy.IdleLoad, now) {
 				continue
 			}
 		}
--- a/pkg/coordination/place/placer_test.go
+++ b/pkg/coordination/place/placer_test.go
@@ -237,12 +237,15 @@
 		switch {
 		case i < p.policy.Candidates:
 			u.RecordReport(u.Info.Slots, 3*u.Info.Slots, now)
+		case i == 2:
+			// Without a recent report, its load is not known.
+			u.RecordReport(0, 0, now.Add(-time.Second))
 		default:
 			u.RecordReport(3, 0, now)
 		}
 	}
 	if c, got := p.Choose(q, now); got != Full {
-		t.Errorf("got status %v, upstream %v while no upstream has half of its slots idle, want %v", got, c.Upstream.Info.ID, Full)
+		t.Errorf("got status %v, upstream %v while no upstream says that half of its slots are idle, want %v", got, c.Upstream.Info.ID, Full)
 	}
 	idle := ranked[4]
 	idle.RecordReport(2, 0, now)
--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -90,6 +90,9 @@
 	// decreases linearly until then. Where a dozen hosts share an upstream, each gets about
 	// one report a second from it; requests of the others must not count as gone sooner.
 	maxReportAge = 5 * time.Second
+	// freshReportAge is the age up to which a report tells what is idle now: about the time
+	// in which an upstream completes a request.
+	freshReportAge = 250 * time.Millisecond
 )
 
 // RecordReport records the load that the upstream reports: requests running and waiting,
@@ -110,6 +113,12 @@
 	return load
 }
 
+// reportedIdle reports whether the upstream has said within freshReportAge that at most the
+// given part of its slots is in use.
+func (u *Upstream) reportedIdle(part float64, now clock.Instant) bool {
+	return now.Sub(clock.Instant(u.reportedAt.Load())) < freshReportAge && u.Load(now) <= part*float64(u.Info.Slots)
+}
+
 // InFlight returns the number of requests that this host has at the upstream.
 func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
 
