--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -111,7 +111,7 @@
 		return
 	}
 	c.write(key, func() {
-		if err := c.host.store.Commit(ctx, platform.Put{Table: platform.Coordination, Key: key, Value: data}); err != nil {
+		if _, err := c.host.store.Commit(ctx, platform.Put{Table: platform.Coordination, Key: key, Value: data}); err != nil {
 			c.log.With("error", err.Error()).Warn("The host's row could not be written.")
 			return
 		}
@@ -151,7 +151,7 @@
 		key := hostPrefix + string(host)
 		row := c.host.copies.tables[platform.Coordination].Get(key)
 		c.write(key, func() {
-			err := c.host.store.Commit(ctx, platform.Put{Table: platform.Coordination, Key: key, Conditional: true, Expected: row.Version})
+			_, err := c.host.store.Commit(ctx, platform.Put{Table: platform.Coordination, Key: key, Conditional: true, Expected: row.Version})
 			if err != nil {
 				c.log.With("removed", host).With("error", err.Error()).Warn("The row of a host that is down could not be removed.")
 				return
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -60,7 +60,7 @@
 		puts = append(puts, status)
 	}
 	c.write(key, func() {
-		err := c.host.store.Commit(ctx, puts...)
+		_, err := c.host.store.Commit(ctx, puts...)
 		switch {
 		case errors.Is(err, platform.ErrConflict):
 			c.log.With("service", w.Record.Service).Info("Another host wrote the rollout record first.")
