--- /dev/null
+++ b/pkg/coordination/duty/duty_test.go
@@ -0,0 +1,132 @@
+package duty
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celerypin.example/celerypin/internal/golden"
+)
+
+// TestMain sets a fixed seed for the property test, so that every run gives the same result.
+// The flag -rapid.seed sets another one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// TestHoldersNeverOverlap guards against two holders with one token, tokens that fall, holders
+// in the order A, B, A within a lease, a call with a refused token, and a duty that nobody
+// takes up again, while hosts are paused, killed, restarted, stopped, cut off from the store
+// or no longer eligible, calls are lost or carried out late, and clocks differ.
+func TestHoldersNeverOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := Terms{Lease: 3 * time.Second, Fenced: rapid.Bool().Draw(t, "fenced")}
+		f := newSimFleet(terms, rapid.IntRange(1, 4).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed"))
+		f.log = t.Logf
+		for range rapid.IntRange(1, 30).Draw(t, "faults") {
+			h := f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")]
+			// Half of the faults hit the holder, where they matter most.
+			for _, other := range f.hosts {
+				if _, _, held := other.candidate.Held(); held && !other.dead && rapid.Bool().Draw(t, "holder") {
+					h = other
+				}
+			}
+			applyFault(f, h, rapid.IntRange(0, 8).Draw(t, "fault"))
+			f.run(time.Duration(rapid.IntRange(20, 9000).Draw(t, "ms")) * time.Millisecond)
+		}
+		f.calm = true
+		for _, h := range f.hosts {
+			h.paused, h.cut, h.ineligible = false, false, false
+			if h.dead || h.leaving {
+				h.restart()
+			}
+		}
+		f.run(40 * time.Second)
+		for _, h := range f.hosts {
+			h.acts = 0
+		}
+		f.run(2 * time.Second)
+		acting := 0
+		for _, h := range f.hosts {
+			if h.acts > 0 {
+				acting++
+			}
+		}
+		if f.broken != "" {
+			t.Fatal(f.broken)
+		}
+		if acting != 1 {
+			t.Fatalf("got %d hosts that act after the faults, want 1", acting)
+		}
+	})
+}
+
+func applyFault(f *simFleet, h *simHost, fault int) {
+	switch fault {
+	case 0:
+		h.paused = true
+	case 1:
+		h.paused = false
+	case 2:
+		h.dead = true
+	case 3:
+		h.restart()
+	case 4:
+		h.leaving = true
+	case 5:
+		h.cut = !h.cut
+	case 6:
+		h.ineligible = !h.ineligible
+	case 7:
+		if f.found {
+			f.version++
+			f.written, f.decodable = f.version, false
+		}
+	default:
+	}
+	f.log("%v: fault %d of %s", f.now, fault, h.name)
+}
+
+// TestTypicalSequence shows a take-over after the holder was lost, one after it was stopped,
+// and a refused token.
+func TestTypicalSequence(t *testing.T) {
+	var out strings.Builder
+	f := newSimFleet(Terms{Lease: 3 * time.Second, Fenced: true}, 2, 1)
+	f.calm = true
+	f.log = func(format string, args ...any) {
+		if !strings.HasPrefix(format, "the platform") {
+			fmt.Fprintf(&out, "%6.2f "+format+"\n", append([]any{f.now.Seconds()}, args...)...)
+		}
+	}
+	for _, s := range []struct {
+		what string
+		do   func()
+		run  time.Duration
+	}{
+		{"start", func() {}, 4 * time.Second},
+		{"the answers of a's writes are lost for 1 s", func() { f.hosts[0].cut = true }, time.Second},
+		{"a is in contact again", func() { f.hosts[0].cut = false }, 2 * time.Second},
+		{"a is killed", func() { f.hosts[0].dead = true }, 6 * time.Second},
+		{"a starts again", func() { f.hosts[0].restart() }, 10 * time.Second},
+		{"b stops", func() { f.hosts[1].leaving = true }, 3 * time.Second},
+		{"the platform has seen token 100", func() { f.highest = 100 }, 2 * time.Second},
+	} {
+		f.log("%s", "-- "+s.what)
+		s.do()
+		f.run(s.run)
+		for _, h := range f.hosts {
+			token, may := h.candidate.MayAct(h.now())
+			f.log("%s may act: %v, token %d", h.name, may && !h.dead, token)
+		}
+	}
+	golden.Check(t, "typical.golden", []byte(out.String()))
+}
