--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,7 +98,9 @@
 // loop reads settings and leaving, and it alone changes roster. It does not use steerer,
 // pool, metrics and callerServer.
 //
-// Goroutines other than these two kinds read the store, apply rows to copies, relay rows
+// One goroutine runs the duty, if there is one (dutyRunner).
+//
+// Goroutines other than these kinds read the store, apply rows to copies, relay rows
 // through mesh, write the rows that the loop has decided, answer directory and readiness
 // queries, and close unused connections. None of them replaces what requests read.
 type Host struct {
@@ -133,6 +135,8 @@
 	copies     *copies
 	controller *controller
 	mesh       *host.Mesh[gossip.Message]
+	// duty is nil unless the settings name a duty that this build knows.
+	duty *dutyRunner
 
 	clientServer *http1.Server
 	otherServers []*http.Server
@@ -177,6 +181,9 @@
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
 	})
+	if s.Duties.Includes(platform.DutyUsageReport) {
+		h.duty = newDutyRunner(h, platform.DutyUsageReport, self.Incarnation, log.Part("duty"))
+	}
 	h.clientServer = http1.NewServer(&handler{host: h, log: newRequestLog(log.Part("request"), c)}, h.limits, c, h.guard)
 	return h
 }
@@ -244,6 +251,12 @@
 		})
 	}
 	h.supervise(background, "idle connections", func() {}, h.closeUnusedConnections)
+	if h.duty != nil {
+		h.supervise(background, taskDuty, func() {}, h.duty.run)
+	}
+	if unknown := s.Duties.Unknown(); len(unknown) > 0 {
+		h.log.With("duties", unknown).Warn("The settings name duties that this build does not know; they are ignored.")
+	}
 	h.log.With("host", s.Host).With("failure_domain", s.FailureDomain).With("region", s.Region).Info("Started.")
 	return nil
 }
@@ -314,6 +327,9 @@
 	remaining := finishTime(grace) - h.clock.Now().Sub(startedAt)
 	finishCtx, cancel := context.WithTimeout(context.Background(), remaining)
 	cancelled := h.clientServer.Stop(finishCtx, steer.ErrHostStopping)
+	if h.duty != nil {
+		h.duty.awaitRelease(finishCtx)
+	}
 	cancel()
 	if cancelled > 0 {
 		h.log.With("requests", cancelled).Warn("Requests were cancelled because the time to stop was over.")
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,7 +20,7 @@
 type hostMetrics struct {
 	delivered, refused, overQuota, failed, denied, clientLeft metrics.Counter
 	attempts, directory                                       metrics.Counter
-	dialed, panics                                            metrics.Gauge
+	dialed, panics, dutyHeld, dutyToken                       metrics.Gauge
 	latency                                                   metrics.Histogram
 }
 
@@ -33,8 +33,9 @@
 		delivered: counter("requests.delivered"), refused: counter("requests.refused"), overQuota: counter("requests.over_quota"),
 		failed: counter("requests.failed"), denied: counter("requests.denied"), clientLeft: counter("requests.client_left"),
 		attempts: counter("upstreams.attempts"), directory: counter("directory.answers"),
-		dialed:  metrics.NewRegisteredGauge("upstreams.connections_made", r),
-		panics:  metrics.NewRegisteredGauge("host.panics", r),
+		dialed:   metrics.NewRegisteredGauge("upstreams.connections_made", r),
+		panics:   metrics.NewRegisteredGauge("host.panics", r),
+		dutyHeld: metrics.NewRegisteredGauge("duty.held", r), dutyToken: metrics.NewRegisteredGauge("duty.token", r),
 		latency: metrics.NewRegisteredHistogram("requests.latency_us", r, metrics.NewUniformSample(latencySample)),
 	}
 }
--- a/internal/edge/panics.go
+++ b/internal/edge/panics.go
@@ -16,6 +16,7 @@
 	taskDigest confine.Task = "digest"
 	taskWrite  confine.Task = "write"
 	taskQuery  confine.Task = "query"
+	taskDuty   confine.Task = "duty"
 )
 
 // reportPanic logs a confined panic and updates the metric.
