--- a/pkg/coordination/duty/duty.go
+++ b/pkg/coordination/duty/duty.go
@@ -271,13 +271,18 @@
 // MayAct reports whether this process may act for the duty now, and with which token. It must
 // be called immediately before each call and each write of the duty.
 func (c *Candidate) MayAct(now clock.Instant) (Token, bool) {
-	if !c.held || c.releasing || c.leaving || c.conflicted || now < c.actFrom || now >= c.leaseUntil {
+	if !c.Active(now) {
 		return 0, false
 	}
 	c.acted, c.lastActedAt = true, now
 	return c.token, true
 }
 
+// Active reports whether this process may act now. Unlike MayAct, it does not announce a call.
+func (c *Candidate) Active(now clock.Instant) bool {
+	return c.held && !c.releasing && !c.leaving && !c.conflicted && now >= c.actFrom && now < c.leaseUntil
+}
+
 // Held returns the token of this process and the version of its row while the row names it.
 // The lease may have ended all the same.
 func (c *Candidate) Held() (Token, mirror.Version, bool) {
--- a/pkg/coordination/duty/duty_test.go
+++ b/pkg/coordination/duty/duty_test.go
@@ -20,6 +20,10 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", "20261204")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue && !testing.Short() {
+		// The rarest known mistake shows after some hundreds of schedules.
+		_ = flag.Set("rapid.checks", "1000")
+	}
 	os.Exit(m.Run())
 }
 
@@ -33,6 +37,9 @@
 		f := newSimFleet(terms, rapid.IntRange(1, 4).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed"))
 		f.log = t.Logf
 		longest := rapid.SampledFrom([]int{700, 2500, 9000}).Draw(t, "longest")
+		// Most faults of a schedule are of one kind: some mistakes show only when two faults
+		// meet undisturbed.
+		focus := rapid.IntRange(0, 10).Draw(t, "focus")
 		for range rapid.IntRange(1, 40).Draw(t, "faults") {
 			h := f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")]
 			// Half of the faults hit the holder, where they matter most.
@@ -41,7 +48,11 @@
 					h = other
 				}
 			}
-			applyFault(f, h, rapid.IntRange(0, 9).Draw(t, "fault"))
+			fault := rapid.IntRange(0, 10).Draw(t, "fault")
+			if rapid.IntRange(0, 3).Draw(t, "focused") > 0 {
+				fault = focus
+			}
+			applyFault(f, h, fault)
 			f.run(time.Duration(rapid.IntRange(20, longest).Draw(t, "ms")) * time.Millisecond)
 		}
 		f.calm = true
@@ -82,7 +93,13 @@
 	case 3:
 		h.restart()
 	case 4:
+		// The process is stopped and another one starts in its place.
 		h.leaving = true
+		h.f.after(time.Duration(500+f.random.IntN(1000))*time.Millisecond, func() {
+			if h.leaving {
+				h.restart()
+			}
+		})
 	case 5:
 		h.cut = !h.cut
 	case 6:
@@ -95,8 +112,10 @@
 	case 8:
 		// The platform has seen a higher token, as after the rows were lost.
 		if f.terms.Fenced {
-			f.highest = max(f.highest, min(f.highest+2, Token(f.version)))
+			f.highest = max(f.highest, min(f.highest+1, Token(f.version)))
 		}
+	case 9:
+		h.trapped = true
 	default:
 	}
 	f.log("%v: fault %d of %s", f.now, fault, h.name)
--- a/pkg/coordination/duty/fleet_test.go
+++ b/pkg/coordination/duty/fleet_test.go
@@ -35,6 +35,8 @@
 	rate        float64
 
 	paused, dead, cut, ineligible, leaving bool
+	// trapped makes the host pause right after its next write is sent.
+	trapped bool
 	// storeBusy and calling are set while the host waits for the store or for the platform.
 	storeBusy, calling bool
 	// inbox holds answers that arrived while the host was paused.
@@ -80,7 +82,7 @@
 	f := &simFleet{terms: terms, random: rand.New(rand.NewPCG(seed, 1)), decodable: true, users: map[Token]string{}, lastExec: map[id.Host]time.Duration{},
 		refused: map[Token]bool{}, log: func(string, ...any) {}}
 	for i := range hosts {
-		h := &simHost{f: f, name: id.Host(rune('a' + i)), rate: 1 + (f.random.Float64()-0.5)*0.06, offset: time.Duration(f.random.Int64N(int64(time.Hour)))}
+		h := &simHost{f: f, name: id.Host(rune('a' + i)), rate: 1 + (f.random.Float64()-0.5)*0.09, offset: time.Duration(f.random.Int64N(int64(time.Hour)))}
 		h.restart()
 		f.hosts = append(f.hosts, h)
 	}
@@ -171,6 +173,9 @@
 	lostAnswer := f.chance(0.1) || h.cut
 	requestDelay := f.delay()
 	switch {
+	case h.trapped && a.Kind == Write:
+		h.trapped, h.paused, lostAnswer = false, true, f.chance(0.5)
+		f.after(time.Second+time.Duration(f.random.Int64N(int64(4*time.Second))), func() { h.paused = false })
 	case f.chance(0.05):
 		requestDelay += time.Duration(f.random.Int64N(int64(8 * time.Second)))
 	case h.cut || f.chance(0.03):
@@ -232,7 +237,7 @@
 		f.fail("%s calls with token %d beside the holder of %d", h.name, token, f.sent)
 	}
 	f.sent = token
-	h.calling, h.nextCallAt, h.acts = true, f.now+300*time.Millisecond, h.acts+1
+	h.calling, h.nextCallAt, h.acts = true, f.now+100*time.Millisecond, h.acts+1
 	delay, late := f.delay(), f.chance(0.15)
 	if late {
 		delay = time.Duration(f.random.Int64N(int64(maxCallDelay)))
