--- a/pkg/coordination/duty/duty.go
+++ b/pkg/coordination/duty/duty.go
@@ -194,9 +194,7 @@
 	case c.doubtful:
 		return c.read(now)
 	case c.releasing:
-		r := c.ownRecord()
-		r.Released = true
-		return c.write(r, now)
+		return c.write(c.releasedRecord(), now)
 	case now.Sub(c.renewedAt) >= c.fraction(renewFraction):
 		return c.write(c.ownRecord(), now)
 	}
@@ -240,6 +238,18 @@
 	return Record{Host: c.self.Host, Incarnation: c.self.Incarnation, Token: c.token}
 }
 
+// releasedRecord is the record by which the holder gives the duty up. If its token was refused,
+// the next one must be above a token that nobody knows. The row's version is the highest
+// candidate: with steps of one, holders would be refused one after the other.
+func (c *Candidate) releasedRecord() Record {
+	r := c.ownRecord()
+	r.Released = true
+	if c.refused >= c.token {
+		r.Token = max(c.token, Token(c.row.version))
+	}
+	return r
+}
+
 // mayReplace reports whether the record may be replaced by one of this host.
 func (c *Candidate) mayReplace(roundTrip time.Duration, now clock.Instant) bool {
 	if now < c.quietUntil {
@@ -258,11 +268,11 @@
 }
 
 // nextToken returns the token of the next holder. A version serves as a token where the last
-// token is not known or was refused: the store numbers all writes by one counter, so it is
-// above each token so far.
+// one is not known: the store numbers all writes by one counter, so it is above each token so
+// far.
 func (c *Candidate) nextToken() Token {
 	next := c.row.record.Token + 1
-	if !c.row.found || !c.row.record.Valid() || c.refused >= c.row.record.Token {
+	if !c.row.found || !c.row.record.Valid() {
 		next = max(Token(c.row.version), 1)
 	}
 	return max(next, c.refused+1)
--- a/pkg/coordination/duty/fleet_test.go
+++ b/pkg/coordination/duty/fleet_test.go
@@ -82,7 +82,7 @@
 	f := &simFleet{terms: terms, random: rand.New(rand.NewPCG(seed, 1)), decodable: true, users: map[Token]string{}, lastExec: map[id.Host]time.Duration{},
 		refused: map[Token]bool{}, log: func(string, ...any) {}}
 	for i := range hosts {
-		h := &simHost{f: f, name: id.Host(rune('a' + i)), rate: 1 + (f.random.Float64()-0.5)*0.09, offset: time.Duration(f.random.Int64N(int64(time.Hour)))}
+		h := &simHost{f: f, name: id.Host(rune('a' + i)), rate: 0.955 + 0.045*float64(f.random.IntN(3)), offset: time.Duration(f.random.Int64N(int64(time.Hour)))}
 		h.restart()
 		f.hosts = append(f.hosts, h)
 	}
