--- a/internal/protocol/gossip/check.go
+++ b/internal/protocol/gossip/check.go
@@ -61,8 +61,15 @@
 			}
 		}
 	}
+	if u := e.Usage; u != nil {
+		r.checkUsage(u)
+	}
 	return r.err
 }
 
+func rangeError(field string, got int64) error {
+	return fmt.Errorf("%w: field %s: got %d", ErrRange, field, got)
+}
+
 // positive returns a number, or 0 if it is negative.
 func positive(x float32) float64 { return max(float64(x), 0) }
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/coordination/roster"
+	"celerypin.example/celerypin/pkg/coordination/usage"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/mirror"
@@ -31,13 +32,14 @@
 	mirror.Changes
 }
 
-// Message is what one host sends another: rows, tokens, or a digest, which a hub sends
-// with a bulletin.
+// Message is what one host sends another: rows, tokens, usage, or a digest, which a hub
+// sends with a bulletin.
 type Message struct {
 	Digest   *roster.Digest
 	Bulletin *roster.Bulletin
 	Rows     *Rows
 	Tokens   *Tokens
+	Usage    *usage.Report
 }
 
 type envelope struct {
@@ -48,6 +50,8 @@
 	Bulletin *bulletin `cbor:"bulletin,omitempty"`
 	Rows     *rows     `cbor:"rows,omitempty"`
 	Tokens   *tokens   `cbor:"tokens,omitempty"`
+	// Usage holds counts of requests, or answers a message with counts.
+	Usage *usageReport `cbor:"usage,omitempty"`
 }
 
 type digest struct {
@@ -143,6 +147,9 @@
 	if m.Tokens != nil {
 		e.Tokens = tokensToWire(m.Tokens)
 	}
+	if m.Usage != nil {
+		e.Usage = usageToWire(m.Usage)
+	}
 	return envelopeCodec.Encode(e)
 }
 
@@ -170,6 +177,9 @@
 	if e.Tokens != nil {
 		m.Tokens = tokensFromWire(e.Tokens)
 	}
+	if e.Usage != nil {
+		m.Usage = usageFromWire(e.Usage)
+	}
 	if m == (Message{}) {
 		return e.From, e.To, m, fmt.Errorf("message of host %q: %w", e.From, ErrEmpty)
 	}
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/coordination/roster"
+	"celerypin.example/celerypin/pkg/coordination/usage"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/mirror"
@@ -63,6 +64,15 @@
 			Deposits: quota.Deposits{"choir": 250_000}, Asks: []quota.Ask{{Account: "choir", Requests: 2}},
 			Grants: []quota.Grant{{Account: "choir", Requests: 1, RetryAfter: 200 * time.Millisecond, Interval: 100 * time.Millisecond}},
 		}}},
+		{"usage of a host", Message{Usage: &usage.Report{
+			Incarnation: 7, Sequence: 12, Base: 11, Wall: usage.TimeOfMillis(1767225601500), Through: usage.TimeOfMillis(1767225601490), Started: usage.TimeOfMillis(1767225500000),
+			Windows: []usage.WindowCounts{{Window: 353445120, Counts: usage.Counts{"choir": 412, "small": 0}}, {Window: 353445121, Counts: usage.Counts{}}},
+		}}},
+		{"usage of a region", Message{Usage: &usage.Report{
+			Incarnation: 3, Sequence: 5, Wall: usage.TimeOfMillis(1767225601500), Agreed: usage.TimeOfMillis(1767225601490), Region: "west",
+			Windows: []usage.WindowCounts{{Window: 353445120, Counts: usage.Counts{"choir": 4120}, Missing: 12.5}},
+		}}},
+		{"answer to usage", Message{Usage: &usage.Report{Incarnation: 3, Wall: usage.TimeOfMillis(1767225601500), Agreed: usage.TimeOfMillis(1767225601490), Ack: 12, Answers: true}}},
 	}
 }
 
@@ -163,6 +173,7 @@
 			"part of a digest":   {Digest: &roster.Digest{Quota: quota.Report{Part: map[id.Account]float64{"choir": value}}}},
 			"rate of a notice":   {Bulletin: &roster.Bulletin{Notices: []roster.Notice{{Host: "b", RequestRate: value}}}},
 			"demand of a region": {Bulletin: &roster.Bulletin{Totals: map[id.Region]quota.Totals{"west": poisoned}}},
+			"missing of usage":   {Usage: &usage.Report{Windows: []usage.WindowCounts{{Missing: value}}}},
 		} {
 			data, err := Codec{}.Encode("a", "b", m)
 			if err != nil {
@@ -186,3 +197,23 @@
 		}
 	}
 }
+
+// TestUsageOutOfRangeIsRefused guards against a time or a count that would reach the reports
+// of usage.
+func TestUsageOutOfRangeIsRefused(t *testing.T) {
+	for name, r := range map[string]usage.Report{
+		"time before 1970": {Wall: -usage.Time(time.Second)},
+		"late time":        {Through: usage.TimeOfMillis(maxTimeMS + 1)},
+		"window":           {Windows: []usage.WindowCounts{{Window: -1}}},
+		"count":            {Windows: []usage.WindowCounts{{Counts: usage.Counts{"choir": math.MaxUint64}}}},
+		"many windows":     {Windows: make([]usage.WindowCounts, maxUsageWindows+1)},
+	} {
+		data, err := Codec{}.Encode("a", "b", Message{Usage: &r})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := (Codec{}).Decode(data); !errors.Is(err, ErrRange) {
+			t.Errorf("%s: got error %v, want ErrRange", name, err)
+		}
+	}
+}
--- a/pkg/coordination/place/choice.go
+++ b/pkg/coordination/place/choice.go
@@ -83,6 +83,9 @@
 // Expected returns the time that the answer is expected to take.
 func (c *Choice) Expected() time.Duration { return c.roundTrip + c.wait + c.work }
 
+// UntilRun returns the time after which the upstream is expected to begin the request.
+func (c *Choice) UntilRun() time.Duration { return c.roundTrip/2 + c.wait }
+
 // Warm reports whether the upstream is expected to know the object.
 func (c *Choice) Warm() bool { return c.known }
 
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -8,6 +8,7 @@
 
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/coordination/usage"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -224,11 +225,27 @@
 		params.Account = d.account.ID
 	}
 	start := d.Clock.Now()
+	mark := d.Meter.Begin(params.Account, start.Add(min(c.UntilRun(), usage.MaxWait)))
 	e := d.Sender.Send(ctx, d.request, params)
+	d.settle(&mark, e.Result)
 	d.record(ctx, c, e, d.Clock.Now().Sub(start))
 	return e
 }
 
+// settle withdraws the count of a request that has not run, which its exchange shows.
+func (d *dispatch[A]) settle(mark *usage.Mark, result Result) {
+	if !mayHaveRun(result) {
+		mark.Withdraw()
+		return
+	}
+	mark.Ended(result != NoAnswer, d.Clock.Now())
+}
+
+// mayHaveRun reports whether the upstream may have run the request.
+func mayHaveRun(result Result) bool {
+	return result != Shed && result != Misdirected && result != NotSent
+}
+
 // record updates the state of the upstream and the counts of its release after an
 // exchange.
 func (d *dispatch[A]) record(ctx context.Context, c *place.Choice, e Exchange[A], elapsed time.Duration) {
@@ -300,7 +317,7 @@
 		return d.finish(Delivered, ReasonNone, 0), true
 	}
 	d.newConnection = e.ReusedConnection && (e.Result == NoAnswer || e.Result == NotSent)
-	notRun := e.Result == Shed || e.Result == Misdirected || e.Result == NotSent
+	notRun := !mayHaveRun(e.Result)
 	d.mayHaveRun = d.mayHaveRun || !notRun
 	retry := (notRun || d.route.Retryable()) && d.mayRetry(e.Result)
 	switch {
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -16,6 +16,7 @@
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/coordination/usage"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -203,6 +204,8 @@
 	Sender   Sender[A]
 	Clock    clock.Clock
 	Random   Random
+	// Meter counts the requests of the accounts; nil if they are not counted.
+	Meter *usage.Meter
 	// RetryRatio is the number of retries that each request to a service allows this
 	// host, RetryReserve the number of retries allowed at once until SetRetryReserve.
 	RetryRatio, RetryReserve float64
