--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -179,6 +179,7 @@
 		c.digestsSentAt = now
 		c.sendDigests(now)
 	}
+	c.host.usage.step(now)
 }
 
 // updateHosts updates the live hosts and the region's reader, and logs changes.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -132,7 +132,9 @@
 	store      *platform.Store
 	copies     *copies
 	controller *controller
-	mesh       *host.Mesh[gossip.Message]
+	// usage is nil unless the settings ask for usage reports.
+	usage *usageExchange
+	mesh  *host.Mesh[gossip.Message]
 
 	clientServer *http1.Server
 	otherServers []*http.Server
@@ -169,11 +171,13 @@
 	})
 	h.copies = newCopies(h.store, c, log.Part("store"), min(s.Bounds.ConfigApply, s.Bounds.Drain))
 	h.controller = newController(h, self, log.Part("control"))
+	h.usage = newUsageExchange(h, self, log.Part("usage"))
 	h.copies.onRead = h.controller.relayToRegion
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
 		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Current: h.controller.current, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
 		Sender: &sender{pool: h.pool, clock: c, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
+		Meter:        h.usage.requestMeter(),
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
 	})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -41,6 +41,10 @@
 		c.receiveTokens(from, m.Tokens)
 		return
 	}
+	if m.Usage != nil {
+		c.host.usage.receive(from, m.Usage)
+		return
+	}
 	if m.Rows != nil && c.host.copies.applyRelayed(platform.TableName(m.Rows.Table), m.Rows.Changes) {
 		c.log.With("from", from).With("table", m.Rows.Table).With("rows", len(m.Rows.Rows)).
 			With("version", m.Rows.Version).Debug("Received rows from another host.")
@@ -48,9 +52,9 @@
 	}
 }
 
-// ConnectionRefused implements host.Events. It does nothing, because hosts that are
-// down are detected by their missing digests.
-func (c *controller) ConnectionRefused(id.Host) {}
+// ConnectionRefused implements host.Events. Hosts that are down are detected by their missing
+// digests; only the estimate of what their last reports do not cover uses this.
+func (c *controller) ConnectionRefused(h id.Host) { c.host.usage.connectionRefused(h) }
 
 // relay sends a host the rows that it lacks, if the host cannot read the store or
 // this host is the reader of its region. Other hosts read for themselves once
@@ -139,7 +143,7 @@
 	// A host without a desired state also reports that it is leaving, so that no
 	// client is sent to it.
 	digest := roster.Digest{
-		HoldsPool:   true,
+		HoldsPool: true, CountsUsage: c.host.usage != nil,
 		Incarnation: c.self.Incarnation, Sequence: c.sequence, Host: c.self.Host, Leaving: !c.host.Ready(),
 		Versions: complete, LastChange: changed, CopyAges: c.host.copies.ages(now), ReadsFailing: c.host.copies.failing(), Quota: c.quotaReport, RequestRate: c.host.shares.RequestRate(),
 		ReleaseCounts: counts, BadReleases: c.rollouts.Bad(),
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -50,7 +50,8 @@
 	Bulletin *bulletin `cbor:"bulletin,omitempty"`
 	Rows     *rows     `cbor:"rows,omitempty"`
 	Tokens   *tokens   `cbor:"tokens,omitempty"`
-	// Usage holds counts of requests, or answers a message with counts.
+	// Usage holds counts of requests, or answers a message with counts. It is sent only to
+	// hosts whose digest says that they take it.
 	Usage *usageReport `cbor:"usage,omitempty"`
 }
 
@@ -80,6 +81,10 @@
 // earlier builds refuse the whole digest; keys that name none of their tables they ignore.
 const unheardPrefix = "unheard/"
 
+// usageKey is the key of CopyAges that says that the host takes messages with counts, for the
+// same reason.
+const usageKey = "counts_usage"
+
 const millionth = 1e-6
 
 // accountReport is what a host reports about the quota of one account. It is encoded as an
@@ -197,6 +202,9 @@
 	}
 	out.Quotas = quotasToWire(d.Quota)
 	out.Outcomes, out.BadReleases = outcomesToWire(d.ReleaseCounts), releasesToWire(d.BadReleases)
+	if d.CountsUsage {
+		out.CopyAges[usageKey] = 1
+	}
 	for domain, part := range d.Unheard {
 		out.CopyAges[unheardPrefix+string(domain)] = uint32(math.Round(part / millionth))
 	}
@@ -272,6 +280,10 @@
 			out.Unheard[id.FailureDomain(domain)] = float64(n) * millionth
 			continue
 		}
+		if key == usageKey {
+			out.CountsUsage = n > 0
+			continue
+		}
 		out.CopyAges[key] = time.Duration(n) * time.Millisecond
 	}
 	for _, q := range d.Quotas {
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -36,7 +36,7 @@
 		Unheard: map[id.FailureDomain]float64{"east-a": 0.125},
 	}
 	hubDigest := &roster.Digest{
-		Incarnation: 7, Sequence: 13, Host: digest.Host, Leaving: true, ReadsFailing: true, QuotaKept: true,
+		Incarnation: 7, Sequence: 13, Host: digest.Host, Leaving: true, ReadsFailing: true, QuotaKept: true, CountsUsage: true,
 		CopyAges: map[string]time.Duration{}, Quota: quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		ReleaseCounts: map[release.RouteRelease]release.Counts{}, Unheard: map[id.FailureDomain]float64{},
 	}
--- a/internal/protocol/gossip/usage.go
+++ b/internal/protocol/gossip/usage.go
@@ -8,8 +8,8 @@
 	"celerypin.example/celerypin/pkg/state/id"
 )
 
-// usageReport is a message of its own, because an earlier build drops a message with a field
-// that it does not know as a whole.
+// usageReport is a message of its own, because an earlier build refuses a message with a
+// field that it does not know as a whole.
 type usageReport struct {
 	Incarnation id.Incarnation `cbor:"incarnation"`
 	Sequence    id.Sequence    `cbor:"sequence,omitempty"`
--- a/pkg/coordination/roster/collectors.go
+++ b/pkg/coordination/roster/collectors.go
@@ -29,10 +29,20 @@
 // UsageRoles returns this host's roles. With hubs, the collectors are this host's hub and
 // standby, and hubs send the sums. In a full mesh they are the two best hosts of the region:
 // those that stay and can read the store before the others, each in the order of names. The
-// reader of the store, which may hold the duty, is then always one of them.
+// reader of the store, which may hold the duty, is then always one of them. Hosts whose build
+// does not count usage have no role.
 func (r *Roster) UsageRoles(readsFailing, leaving bool, now clock.Instant) UsageRoles {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	roles := r.allUsageRoles(readsFailing, leaving, now)
+	unknowing := func(h id.Host) bool { return h != r.self.ID && !r.hubs.countsUsage[h] }
+	roles.Collectors = slices.DeleteFunc(roles.Collectors, unknowing)
+	roles.SumReceivers = slices.DeleteFunc(roles.SumReceivers, unknowing)
+	return roles
+}
+
+// allUsageRoles returns the roles whether or not the other hosts count usage.
+func (r *Roster) allUsageRoles(readsFailing, leaving bool, now clock.Instant) UsageRoles {
 	if !r.meshed() && r.hubs.hub != "" {
 		return r.hubUsageRoles(now)
 	}
--- a/pkg/coordination/roster/hub.go
+++ b/pkg/coordination/roster/hub.go
@@ -68,6 +68,9 @@
 	followers, directSenders map[id.Host]clock.Instant
 	// remoteSenders holds the instant of the last bulletin of each host of another region.
 	remoteSenders map[id.Host]clock.Instant
+	// countsUsage holds the hosts whose last digest, sent directly, had CountsUsage. Earlier
+	// builds close a connection on which they receive a message that they do not know.
+	countsUsage map[id.Host]bool
 	// hubSince is when this host became a hub, 0 while it is none.
 	hubSince clock.Instant
 	// totals are the last totals of each region, received from a hub or, for the own
@@ -87,13 +90,14 @@
 	return hubs{
 		chosenSince: map[id.Host]clock.Instant{}, lastContact: map[id.Host]clock.Instant{}, suspectUntil: map[id.Host]clock.Instant{},
 		followers: map[id.Host]clock.Instant{}, directSenders: map[id.Host]clock.Instant{}, remoteSenders: map[id.Host]clock.Instant{},
-		totals: map[id.Region]regionTotals{}, lastRoundAt: now, runningSince: now,
+		countsUsage: map[id.Host]bool{}, totals: map[id.Region]regionTotals{}, lastRoundAt: now, runningSince: now,
 	}
 }
 
 // receivedDirectly records a digest that a host sent to this one directly.
 func (h *hubs) receivedDirectly(d *Digest, now clock.Instant) {
 	h.lastContact[d.Host.ID] = now
+	h.countsUsage[d.Host.ID] = d.CountsUsage
 	delete(h.suspectUntil, d.Host.ID)
 	if d.Follows {
 		h.followers[d.Host.ID] = now
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -44,6 +44,8 @@
 	ReadsFailing bool
 	// HoldsPool reports whether the host holds a pool of tokens while it is a hub.
 	HoldsPool bool
+	// CountsUsage reports whether the host takes messages with counts of requests.
+	CountsUsage bool
 	// QuotaKept is set if Quota is left out because the last report stays in use.
 	QuotaKept bool
 	// Quota is the host's report on the quotas of the accounts.
