--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -33,8 +33,9 @@
 	// refused holds when hosts last refused a connection.
 	refused map[id.Host]clock.Instant
 	sentAt  clock.Instant
-	// agreed reports whether there was an agreed time at the last step.
-	agreed bool
+	// agreed reports whether there was an agreed time at the last step; begun is set by the
+	// first one.
+	agreed, begun bool
 }
 
 // usageTerms returns the terms of usage reports, and whether the settings ask for them.
@@ -157,8 +158,8 @@
 		u.agreement.Follow(roles.Collectors, now)
 	}
 	offset, agreed := u.agreement.Offset()
-	if agreed != u.agreed || u.sentAt == u.started {
-		u.agreed = agreed
+	if agreed != u.agreed || !u.begun {
+		u.agreed, u.begun = agreed, true
 		if !agreed {
 			u.log.Warn("The hosts do not agree on the time; no requests are assigned to usage windows.")
 			return
--- /dev/null
+++ b/pkg/coordination/usage/fleet_test.go
@@ -0,0 +1,335 @@
+package usage
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+)
+
+// testTerms are the platform's usual bounds.
+var testTerms = Terms{Window: 5 * time.Second, Due: 10 * time.Second, Tolerance: 0.05}
+
+const (
+	// modelTick is the interval between two requests of an account at a host.
+	modelTick = 20 * time.Millisecond
+	// modelStart is the true time at which a model starts, some years after 1970.
+	modelStart = Time(50 * 365 * 24 * time.Hour)
+	// noticeDelay is how long hosts take to notice that another one has ended or is back.
+	noticeDelay = 2 * time.Second
+)
+
+var modelAccounts = []id.Account{"choir", "small"}
+
+// modelHost is one host: its process, its clocks and its view of the others.
+type modelHost struct {
+	name        id.Host
+	region      id.Region
+	alive       bool
+	incarnation id.Incarnation
+	// origin is the true time of the origin of the monotonic clock, ahead the error of the
+	// wall clock.
+	origin Time
+	ahead  time.Duration
+	// changedAt is when the process last started or ended, cut whether the host is cut off.
+	changedAt Time
+	cut       bool
+
+	startedAt clock.Instant
+	meter     *Meter
+	agreement *TimeAgreement
+	collector *Collector
+	own, sums *Reporter
+	sentAt    clock.Instant
+	ledger    *Ledger
+}
+
+// model is a fleet of hosts on a simulated time, with a store and a platform.
+type model struct {
+	now   Time
+	hosts []*modelHost
+	// lose reports whether the next message is lost.
+	lose func() bool
+	// late holds messages on their way.
+	late []func()
+
+	// holder is the host that holds the duty, token the number of holders so far.
+	holder *modelHost
+	token  int
+	rows   map[int]ClosedWindow
+	ver    mirror.Version
+	// lateWrites are writes whose answers were lost.
+	lateWrites []func()
+	loseAnswer func() bool
+
+	truth, reported map[Window]Counts
+	leftOut         map[Window]Reason
+	errors          []string
+}
+
+// newModel returns a fleet of two regions whose hosts have run for some time.
+func newModel(perRegion int) *model {
+	m := &model{
+		now: modelStart, rows: map[int]ClosedWindow{}, truth: map[Window]Counts{}, reported: map[Window]Counts{},
+		leftOut: map[Window]Reason{}, lose: func() bool { return false }, loseAnswer: func() bool { return false },
+	}
+	for i := range 2 * perRegion {
+		h := &modelHost{name: id.Host(fmt.Sprintf("host-%d", i)), region: id.Region("ab"[i%2 : i%2+1]), origin: modelStart - Time(i)*Time(time.Hour) - Time(time.Hour)}
+		m.hosts = append(m.hosts, h)
+		m.start(h)
+	}
+	m.holder = m.hosts[0]
+	return m
+}
+
+func (h *modelHost) instant(t Time) clock.Instant { return clock.Instant(t - h.origin) }
+
+func (m *model) start(h *modelHost) {
+	h.alive, h.changedAt, h.startedAt = true, m.now, h.instant(m.now)
+	h.incarnation++
+	h.meter, h.agreement = NewMeter(testTerms), NewTimeAgreement()
+	h.collector = NewCollector(h.name, h.region, testTerms, h.agreement)
+	h.own, h.sums, h.sentAt = NewReporter(h.incarnation), NewReporter(h.incarnation), 0
+	h.ledger = nil
+}
+
+func (m *model) kill(h *modelHost) { h.alive, h.changedAt = false, m.now }
+
+// live reports whether others take a host for running.
+func (m *model) live(h *modelHost) bool {
+	noticed := m.now.Sub(h.changedAt) >= noticeDelay
+	return h.alive == noticed
+}
+
+// collectorsOf returns the collectors of a region: the first two live hosts.
+func (m *model) collectorsOf(region id.Region) []*modelHost {
+	var out []*modelHost
+	for _, h := range m.hosts {
+		if h.region == region && m.live(h) && len(out) < 2 {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// send delivers a message some milliseconds later, unless it is lost.
+func (m *model) send(from, to *modelHost, r *Report) {
+	if from.cut != to.cut || m.lose() {
+		return
+	}
+	incarnation := to.incarnation
+	m.late = append(m.late, func() {
+		if to.alive && to.incarnation == incarnation {
+			m.receive(from, to, r)
+		}
+	})
+}
+
+func (m *model) receive(from, to *modelHost, r *Report) {
+	now := to.instant(m.now)
+	to.agreement.Heard(from.name, r.Wall, now)
+	if r.Agreed > 0 {
+		to.agreement.Offered(from.name, r.Agreed, now)
+	}
+	reporter := to.own
+	if r.Region != "" {
+		reporter = to.sums
+	}
+	if r.Answers {
+		reporter.Confirm(from.name, r.Ack)
+		return
+	}
+	agreed, _ := to.agreement.Now(now)
+	m.send(to, from, &Report{Wall: m.wall(to), Agreed: agreed, Ack: to.collector.Receive(from.name, r), Answers: true, Region: r.Region})
+}
+
+func (m *model) wall(h *modelHost) Time { return m.now.Add(h.ahead) }
+
+// step advances the time by a tick, in which each account has a request at each host.
+func (m *model) step() {
+	m.now = m.now.Add(modelTick)
+	late := m.late
+	m.late = nil
+	for _, deliver := range late {
+		deliver()
+	}
+	for _, h := range m.hosts {
+		if !h.alive {
+			continue
+		}
+		for _, account := range modelAccounts {
+			h.meter.Begin(account, h.instant(m.now))
+			w := testTerms.At(m.now)
+			if m.truth[w] == nil {
+				m.truth[w] = Counts{}
+			}
+			m.truth[w][account]++
+		}
+		h.agreement.Running(h.instant(m.now))
+		m.exchange(h)
+	}
+	m.act()
+}
+
+// exchange sends what a host would send.
+func (m *model) exchange(h *modelHost) {
+	now := h.instant(m.now)
+	interval := testTerms.Interval(len(m.hosts))
+	if now.Sub(h.sentAt) < interval {
+		return
+	}
+	h.sentAt = now
+	collectors := m.collectorsOf(h.region)
+	collects := slices.Contains(collectors, h)
+	if collects {
+		h.agreement.Agree(m.wall(h), len(m.hosts), now)
+	} else {
+		h.agreement.Follow(names(collectors), now)
+	}
+	h.collector.SetServing(m.serving(h), interval, now)
+	offset, agreed := h.agreement.Offset()
+	if !agreed {
+		for _, c := range collectors {
+			m.send(h, c, &Report{Wall: m.wall(h)})
+		}
+		return
+	}
+	through := offset.At(now)
+	h.collector.Expire(through)
+	windows := HostReport(h.meter, testTerms, offset, through)
+	reports := h.own.Next(Report{Wall: m.wall(h), Through: through, Started: offset.At(h.startedAt)}, windows, names(collectors))
+	for _, c := range collectors {
+		if c == h {
+			h.own.Confirm(h.name, h.collector.Receive(h.name, reports[h.name]))
+			continue
+		}
+		m.send(h, c, reports[c.name])
+	}
+	if !collects {
+		return
+	}
+	receivers := append(m.collectorsOf("a"), m.collectorsOf("b")...)
+	sums := h.sums.Next(Report{Wall: m.wall(h), Agreed: through, Through: through, Region: h.region}, h.collector.Sums(through), names(receivers))
+	for _, c := range receivers {
+		if c != h {
+			m.send(h, c, sums[c.name])
+		}
+	}
+}
+
+func names(hosts []*modelHost) []id.Host {
+	var out []id.Host
+	for _, h := range hosts {
+		out = append(out, h.name)
+	}
+	return out
+}
+
+// serving returns what a host knows of the others: a cut off host may be serving.
+func (m *model) serving(by *modelHost) []ServingHost {
+	var out []ServingHost
+	for _, h := range m.hosts {
+		s := ServingHost{Host: h.name, Region: h.region, Rate: float64(len(modelAccounts)) * float64(time.Second/modelTick), Heard: true}
+		if h.cut == by.cut && !m.live(h) {
+			s.Presence = Ended
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// act lets the holder close and report windows.
+func (m *model) act() {
+	h := m.holder
+	if h == nil || !h.alive || m.now%Time(200*time.Millisecond) != 0 {
+		return
+	}
+	now := h.instant(m.now)
+	if h.ledger == nil {
+		h.ledger = m.restored(h, now)
+	}
+	if w, ok := h.ledger.NextClose(h.collector, now); ok {
+		m.close(h, w, now)
+	}
+	if h.ledger == nil {
+		return
+	}
+	for _, l := range h.ledger.TakeLeftOut() {
+		m.leftOut[l.Window] = l.Reason
+	}
+	if w, ok := h.ledger.NextReport(); ok {
+		if before := m.reported[w.Window]; before != nil && fmt.Sprint(before) != fmt.Sprint(w.Counts) {
+			m.errors = append(m.errors, fmt.Sprintf("window %d was reported with %v and %v", w.Window, before, w.Counts))
+		}
+		m.reported[w.Window] = w.Counts
+		if !m.loseAnswer() {
+			h.ledger.ConfirmReport(w.Window)
+		}
+	}
+}
+
+func (m *model) restored(h *modelHost, now clock.Instant) *Ledger {
+	l := NewLedger(testTerms)
+	at, _ := h.agreement.Now(now)
+	var rows []ClosedWindow
+	for _, r := range m.rows {
+		rows = append(rows, r)
+	}
+	l.Restore(rows, at)
+	return l
+}
+
+// close writes a closed window. A write without an answer may be applied later; the holder
+// then lists the rows again.
+func (m *model) close(h *modelHost, w ClosedWindow, now clock.Instant) {
+	token := m.token
+	write := func() bool {
+		if token != m.token || m.rows[SlotOf(w.Window)].Version != w.Version {
+			return false
+		}
+		m.ver++
+		w.Version = m.ver
+		m.rows[SlotOf(w.Window)] = w
+		return true
+	}
+	switch {
+	case m.loseAnswer():
+		m.lateWrites = append(m.lateWrites, func() { write() })
+		h.ledger = nil
+	case write():
+		h.ledger.ConfirmClose(w, m.ver)
+	default:
+		h.ledger = m.restored(h, now)
+	}
+}
+
+// take makes a host the holder.
+func (m *model) take(h *modelHost) {
+	m.holder, h.ledger = h, nil
+	m.token++
+}
+
+// run runs the model for some time.
+func (m *model) run(d time.Duration) {
+	for end := m.now.Add(d); m.now < end; {
+		m.step()
+	}
+}
+
+// check compares the reports with the truth.
+func (m *model) check() []string {
+	const slack = 4
+	out := m.errors
+	for w, counts := range m.reported {
+		for _, account := range modelAccounts {
+			got, want := float64(counts[account]), float64(m.truth[w][account])
+			if margin := testTerms.Tolerance*want + slack; got > want+margin || got < want-margin {
+				out = append(out, fmt.Sprintf("window %d (%d after the start): got %.0f requests of %s, want %.0f", w, w-testTerms.At(modelStart), got, account, want))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/coordination/usage/usage_test.go
@@ -0,0 +1,169 @@
+package usage
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celerypin.example/celerypin/pkg/state/clock"
+)
+
+// TestReportsAreTrueOrLeftOut guards against windows that are closed with two counts, accounts
+// that are counted twice, and reports beyond the tolerance, whichever hosts are killed, cut
+// off, restarted or chosen as holder, and whichever messages, writes and answers are lost.
+func TestReportsAreTrueOrLeftOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(3)
+		losses := rapid.SliceOfN(rapid.IntRange(0, 19), 50, 50).Draw(t, "losses")
+		i := 0
+		next := func(below int) bool {
+			i++
+			return losses[(i*i+i)%len(losses)] < below
+		}
+		m.lose = func() bool { return next(1) }
+		m.loseAnswer = func() bool { return next(3) }
+		m.run(16 * time.Second)
+		for range rapid.IntRange(3, 8).Draw(t, "faults") {
+			m.fault(t)
+			m.run(time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")) * time.Millisecond)
+		}
+		m.run(16 * time.Second)
+		if errors := m.check(); len(errors) > 0 {
+			t.Fatal(strings.Join(errors, "\n"))
+		}
+	})
+}
+
+// fault changes one host or the holder.
+func (m *model) fault(t *rapid.T) {
+	h := m.hosts[rapid.IntRange(0, len(m.hosts)-1).Draw(t, "host")]
+	switch rapid.SampledFrom([]string{"kill", "start", "cut", "heal", "jump", "hold", "late write"}).Draw(t, "fault") {
+	case "kill":
+		// One host at a time: the losses of several are bounded by the share of each.
+		if h.alive && !m.anyDown() {
+			m.kill(h)
+		}
+	case "start":
+		for _, h := range m.hosts {
+			if !h.alive {
+				m.start(h)
+			}
+		}
+	case "cut":
+		h.cut = true
+	case "heal":
+		for _, h := range m.hosts {
+			h.cut = false
+		}
+	case "jump":
+		// Of the clocks that a collector hears, a minority may be wrong.
+		for _, other := range m.hosts {
+			other.ahead = 0
+		}
+		h.ahead = time.Duration(rapid.IntRange(-40, 40).Draw(t, "minutes")) * time.Minute
+	case "hold":
+		if h.alive {
+			m.take(h)
+		}
+	case "late write":
+		for _, write := range m.lateWrites {
+			write()
+		}
+		m.lateWrites = nil
+	}
+}
+
+func (m *model) anyDown() bool {
+	for _, h := range m.hosts {
+		if !h.alive || m.now.Sub(h.changedAt) < 6*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// TestWindowsAreReported guards against windows that are left out without need: without a
+// fault, and when the holder is killed, a collector is lost, or a wall clock jumps.
+func TestWindowsAreReported(t *testing.T) {
+	for name, fault := range map[string]func(*model){
+		"no fault":       func(*model) {},
+		"holder killed":  func(m *model) { m.kill(m.hosts[0]); m.run(4 * time.Second); m.take(m.hosts[1]) },
+		"host restarted": func(m *model) { m.kill(m.hosts[5]); m.run(time.Second); m.start(m.hosts[5]) },
+		"clock jumped":   func(m *model) { m.hosts[1].ahead = 40 * time.Minute },
+	} {
+		m := newModel(3)
+		m.run(32 * time.Second)
+		fault(m)
+		m.run(40 * time.Second)
+		for _, e := range m.check() {
+			t.Errorf("%s: %s", name, e)
+		}
+		first, last := testTerms.At(modelStart)+1, testTerms.At(m.now.Add(-testTerms.Due))-1
+		for w := first; w <= last; w++ {
+			if m.reported[w] == nil {
+				t.Errorf("%s: window %d (%d after the start) is not reported: %s", name, w, w-first, m.leftOut[w])
+			}
+		}
+	}
+}
+
+// TestOutageIsLeftOut guards against a report of a window in which all hosts lost what they
+// had counted.
+func TestOutageIsLeftOut(t *testing.T) {
+	m := newModel(2)
+	m.run(32 * time.Second)
+	for _, h := range m.hosts {
+		m.kill(h)
+	}
+	outage := testTerms.At(m.now)
+	m.run(time.Second)
+	for _, h := range m.hosts {
+		m.start(h)
+	}
+	m.take(m.hosts[1])
+	m.run(30 * time.Second)
+	if got, reported := m.reported[outage]; reported {
+		t.Errorf("got a report of the window of the outage, %v, want none", got)
+	}
+	for _, e := range m.check() {
+		t.Error(e)
+	}
+	if m.reported[outage+2] == nil {
+		t.Error("the window after the outage is not reported")
+	}
+}
+
+// TestMeterWithdraws guards against counting requests that did not run, twice withdrawn
+// marks, and buckets of the ring's last round.
+func TestMeterWithdraws(t *testing.T) {
+	m := NewMeter(testTerms)
+	at := clock.Instant(time.Hour)
+	first, second := m.Begin("choir", at), m.Begin("choir", at)
+	first.Withdraw()
+	first.Withdraw()
+	second.Ended(true, at.Add(time.Second))
+	unanswered, answered := m.Begin("choir", at.Add(2*time.Second)), m.Begin("choir", at.Add(2*time.Second))
+	unanswered.Ended(false, at.Add(time.Second))
+	answered.Ended(true, at.Add(time.Second))
+	m.Begin("", at)
+	for _, c := range []struct {
+		name     string
+		from, to time.Duration
+		want     Count
+	}{{"all", 0, 3 * time.Second, 2}, {"first", 0, time.Second, 1}, {"answered early", time.Second, 2 * time.Second, 1}} {
+		if got := m.Counts(at.Add(c.from), at.Add(c.to))["choir"]; got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+	round := buckets * shortestBucket
+	m.Begin("choir", at.Add(round))
+	second.Withdraw()
+	if got := m.Counts(at.Add(round), at.Add(round+time.Second))["choir"]; got != 1 {
+		t.Errorf("got %d after a round of the ring, want 1", got)
+	}
+	var none *Meter
+	mark := none.Begin("choir", at)
+	mark.Withdraw()
+}
