--- a/pkg/coordination/roster/collectors.go
+++ b/pkg/coordination/roster/collectors.go
@@ -109,14 +109,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	inContact := r.domainsInContact(now)
-	out := []usage.ServingHost{{Host: r.self.ID, Region: r.self.Region, Rate: ownRate, Heard: true}}
+	out := []usage.ServingHost{{Host: r.self.ID, Region: r.self.Region, Rate: ownRate, HeardAt: now}}
 	add := func(h fleet.Host) {
 		s := usage.ServingHost{Host: h.ID, Region: h.Region}
 		state, heard := r.states[h.ID]
 		live := heard && state.isLive(now)
 		last := r.startedAt
 		if heard {
-			s.Heard, s.Rate, last = true, state.digest.RequestRate, state.reportedAt
+			s.HeardAt, s.Rate, last = state.reportedAt, state.digest.RequestRate, state.reportedAt
 		}
 		refusedAt, isRefused := refused[h.ID]
 		silent := now.Sub(last)
--- a/pkg/coordination/usage/collector.go
+++ b/pkg/coordination/usage/collector.go
@@ -27,9 +27,9 @@
 	Presence Presence
 	// Rate is the rate of requests that the host last reported, per second.
 	Rate float64
-	// Heard reports whether the host was heard since this process started; the others have
-	// no known rate.
-	Heard bool
+	// HeardAt is when the host last reported its state, 0 if it was not heard since this
+	// process started. The others have no known rate.
+	HeardAt clock.Instant
 }
 
 // Collector holds the counts that hosts of its region and the other regions' hubs have
@@ -97,7 +97,7 @@
 	c.serving, c.interval = hosts, interval
 	for _, h := range hosts {
 		known := c.rates[h.Host]
-		if h.Heard && (h.Rate >= known.rate || now.Sub(known.at) > c.terms.Window+c.terms.Due) {
+		if h.HeardAt != 0 && (h.Rate >= known.rate || now.Sub(known.at) > c.terms.Window+c.terms.Due) {
 			c.rates[h.Host] = knownRate{h.Rate, now}
 		}
 	}
@@ -276,8 +276,8 @@
 	if len(known) == 0 {
 		end := c.terms.End(w)
 		if h.Presence == Ended {
-			// It ended before this collector received reports, or before the open windows.
-			end = c.since
+			// It served while it was heard, or before this collector received reports.
+			end = max(c.since, c.heardUntil(h))
 		}
 		return c.rate(h) * c.overlap(w, 0, end).Seconds()
 	}
@@ -291,8 +291,15 @@
 			end = min(end, known[i+1].started)
 		case h.Presence == InContact:
 			end = c.terms.End(w)
+		default:
+			end = max(end, c.heardUntil(h))
 		}
 		uncovered += c.overlap(w, s.through, end)
 	}
 	return c.rate(h) * uncovered.Seconds()
 }
+
+// heardUntil returns how long a host that has ended may have served, by when it was heard.
+func (c *Collector) heardUntil(h ServingHost) Time {
+	return c.time.offset.At(h.HeardAt).Add(c.interval)
+}
