--- a/pkg/coordination/roster/collectors.go
+++ b/pkg/coordination/roster/collectors.go
@@ -116,7 +116,7 @@
 		live := heard && state.isLive(now)
 		last := r.startedAt
 		if heard {
-			s.HeardAt, s.Rate, last = state.reportedAt, state.digest.RequestRate, state.reportedAt
+			s.HeardAt, s.Incarnation, s.Rate, last = state.reportedAt, state.digest.Incarnation, state.digest.RequestRate, state.reportedAt
 		}
 		refusedAt, isRefused := refused[h.ID]
 		silent := now.Sub(last)
--- a/pkg/coordination/usage/collector.go
+++ b/pkg/coordination/usage/collector.go
@@ -30,6 +30,8 @@
 	// HeardAt is when the host last reported its state, 0 if it was not heard since this
 	// process started. The others have no known rate.
 	HeardAt clock.Instant
+	// Incarnation is the process that was heard then, 0 if that is not known.
+	Incarnation id.Incarnation
 }
 
 // Collector holds the counts that hosts of its region and the other regions' hubs have
@@ -63,6 +65,8 @@
 type stream struct {
 	sequence         id.Sequence
 	through, started Time
+	// heardAt is when the process was last heard, also without a report.
+	heardAt clock.Instant
 	windows          map[Window]*WindowCounts
 }
 
@@ -100,6 +104,9 @@
 		if h.HeardAt != 0 && (h.Rate >= known.rate || now.Sub(known.at) > c.terms.Window+c.terms.Due) {
 			c.rates[h.Host] = knownRate{h.Rate, now}
 		}
+		if s := c.hosts[streamKey{h.Host, h.Incarnation, ""}]; s != nil {
+			s.heardAt = h.HeardAt
+		}
 	}
 }
 
@@ -277,7 +284,7 @@
 		end := c.terms.End(w)
 		if h.Presence == Ended {
 			// It served while it was heard, or before this collector received reports.
-			end = max(c.since, c.heardUntil(h))
+			end = max(c.since, c.time.offset.At(h.HeardAt).Add(c.interval))
 		}
 		return c.rate(h) * c.overlap(w, 0, end).Seconds()
 	}
@@ -285,21 +292,14 @@
 	uncovered := c.overlap(w, 0, known[0].started)
 	for i, s := range known {
 		// A process that has ended reported until at most one interval before its end.
-		end := s.through.Add(c.interval)
+		end := max(s.through.Add(c.interval), c.time.offset.At(s.heardAt))
 		switch {
 		case i+1 < len(known):
 			end = min(end, known[i+1].started)
 		case h.Presence == InContact:
 			end = c.terms.End(w)
-		default:
-			end = max(end, c.heardUntil(h))
 		}
 		uncovered += c.overlap(w, s.through, end)
 	}
 	return c.rate(h) * uncovered.Seconds()
 }
-
-// heardUntil returns how long a host that has ended may have served, by when it was heard.
-func (c *Collector) heardUntil(h ServingHost) Time {
-	return c.time.offset.At(h.HeardAt).Add(c.interval)
-}
