--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -106,6 +106,14 @@
 	return t
 }
 
+// hasTime reports whether there is an agreed time.
+func (u *usageExchange) hasTime() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, agreed := u.agreement.Offset()
+	return agreed
+}
+
 // connectionRefused notes that the process of a host has ended.
 func (u *usageExchange) connectionRefused(h id.Host) {
 	if u == nil {
--- a/pkg/coordination/usage/collector.go
+++ b/pkg/coordination/usage/collector.go
@@ -67,7 +67,7 @@
 	through, started Time
 	// heardAt is when the process was last heard, also without a report.
 	heardAt clock.Instant
-	windows          map[Window]*WindowCounts
+	windows map[Window]*WindowCounts
 }
 
 // knownRate is the largest rate that a host reported lately. A host that restarts reports a
--- a/pkg/coordination/usage/ledger.go
+++ b/pkg/coordination/usage/ledger.go
@@ -78,10 +78,10 @@
 // SlotOf returns the slot of a window.
 func SlotOf(w Window) int { return int(((w % Slots) + Slots) % Slots) }
 
-// Restore replaces the closed windows by those that the store holds. Those whose reports
+// Restore replaces the closed windows by those that the store holds. Call it on a new ledger,
+// after RestoreInvalid. Those whose reports
 // are not due yet will be reported again, because it is not known whether they were.
 func (l *Ledger) Restore(rows []ClosedWindow, now Time) {
-	l.slots = [Slots]ledgerSlot{}
 	for _, r := range rows {
 		l.slots[SlotOf(r.Window)] = ledgerSlot{ClosedWindow: r, used: true, reported: now >= l.terms.DueAt(r.Window)}
 	}
