--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/gossip"
@@ -13,6 +14,11 @@
 	"celerypin.example/celerypin/platform"
 )
 
+// agreementDelay is how long a host that has just started does not agree on a time by itself:
+// hosts that start together find each other in about a second, and one that knows of no other
+// would agree with its own clock.
+const agreementDelay = 3 * time.Second
+
 // usageExchange sends and receives the counts of requests by windows. The meter is used by
 // requests; the mesh, the control loop and the duty's loop use the rest under the lock.
 type usageExchange struct {
@@ -160,10 +166,13 @@
 
 // agree renews the agreed time and logs when there is one and when there is none.
 func (u *usageExchange) agree(roles roster.UsageRoles, now clock.Instant) {
-	if roles.Collects {
-		u.agreement.Agree(u.wall(), len(u.host.roster.Listed())+1, now)
-	} else {
+	switch {
+	case !roles.Collects:
 		u.agreement.Follow(roles.Collectors, now)
+	case u.host.controller.listsSelf() && now.Sub(u.started) >= agreementDelay:
+		u.agreement.Agree(u.wall(), len(u.host.roster.Listed())+1, now)
+	default:
+		u.agreement.Follow(nil, now)
 	}
 	offset, agreed := u.agreement.Offset()
 	if agreed != u.agreed || !u.begun {
--- a/internal/edge/usage_test.go
+++ b/internal/edge/usage_test.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	info := fleet.Upstream{ID: "u", Service: "desk", Release: "v1", FailureDomain: "d", Address: listener.Addr().String(), Slots: 200}
+	info := fleet.Upstream{ID: "u", Service: "desk", Release: "v1", FailureDomain: "d", Address: listener.Addr().String(), Slots: 100, Incarnation: 1}
 	u := standin.StartUpstream(info, listener, f.store, 5*time.Millisecond, func(e standin.Execution) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -99,8 +99,9 @@
 func (f *usageFleet) startHost(name id.Host, c clock.Clock, api string) {
 	store := httptest.NewServer(f.store.Handler(name))
 	f.t.Cleanup(store.Close)
+	address := fmt.Sprintf("127.0.0.1:%d", freePeerPort(f.t))
 	settings := standin.HostSettings{
-		Host: fleet.Host{ID: name, Region: "r", FailureDomain: "d", Address: "127.0.0.1:0"}, IP: "127.0.0.1",
+		Host: fleet.Host{ID: name, Region: "r", FailureDomain: "d", Address: address}, IP: "127.0.0.1",
 		PeerPort: freePeerPort(f.t), Store: store.Listener.Addr().String(), MemoryMiB: 200, Bounds: standin.Bounds(), Fenced: true,
 		Regions: map[id.FailureDomain]id.Region{"d": "r"}, Duties: platform.Duties{Address: api, Names: []platform.DutyName{platform.DutyUsageReport}},
 	}
@@ -151,7 +152,7 @@
 			return
 		}
 	}
-	f.t.Fatal("a host is not ready")
+	f.t.Fatalf("host %s is not ready: ready %v, %d upstreams", h.settings.Load().Host, h.Ready(), len(h.placer.Upstreams()))
 }
 
 // sendRequests sends a request of an account every 10 ms until ctx ends.
