--- a/cmd/celerypin/cmds/explain.go
+++ b/cmd/celerypin/cmds/explain.go
@@ -13,17 +13,22 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "explain",
-		Usage: "show the log lines of all hosts about a request",
+		Usage: "show the log lines of all hosts about a request or a usage window",
 		Description: "Reads the log files of any number of hosts and prints, in order of time, the\n" +
 			"lines of one request and what its hosts learned in the seconds before.\n" +
-			"With --events, prints the time line of all hosts without requests.\n\n" +
+			"With --events, prints the time line of all hosts without requests. With --window,\n" +
+			"prints what became of a usage window, and what may explain that it is missing.\n\n" +
 			"Example: celerypin explain 3789faa34162d1da edge-1.log edge-2.log",
 		ArgsUsage: "ID FILE...",
-		Flags:     []cli.Flag{&cli.BoolFlag{Name: eventsFlag, Usage: "print the time line of all events; takes FILE arguments only"}},
+		Flags: []cli.Flag{&cli.BoolFlag{Name: eventsFlag, Usage: "print the time line of all events; takes FILE arguments only"},
+			&cli.Int64Flag{Name: windowFlag, Usage: "print the lines about the usage window `N`; takes FILE arguments only"}},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Bool(eventsFlag) {
 				return explainEvents(c, c.Args().Slice())
 			}
+			if c.IsSet(windowFlag) {
+				return explainWindow(c, c.Int64(windowFlag), c.Args().Slice())
+			}
 			if c.Args().Len() < 2 {
 				return fmt.Errorf("%w: expected a request ID and at least one log FILE", ErrUsage)
 			}
@@ -32,7 +37,25 @@
 	}
 }
 
-const eventsFlag = "events"
+const (
+	eventsFlag = "events"
+	windowFlag = "window"
+)
+
+func explainWindow(c *cli.Command, window int64, files []string) error {
+	if len(files) == 0 {
+		return fmt.Errorf("%w: expected at least one log FILE", ErrUsage)
+	}
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	found, err := explain.Window(lines, window)
+	if err != nil {
+		return err
+	}
+	return explain.Write(c.Root().Writer, found)
+}
 
 func explainEvents(c *cli.Command, files []string) error {
 	if len(files) == 0 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -88,6 +89,57 @@
 	return out, nil
 }
 
+// ErrNoWindow means that no line names the usage window.
+var ErrNoWindow = errors.New("no line names the usage window")
+
+// windowContext is the time before and after the lines of a usage window in which lines about
+// the time, the duty and the other hosts are included.
+const windowContext = 12 * time.Second
+
+// Window returns the lines that name a usage window and, around them, those that may explain
+// why it was not reported: about the agreed time, the duty, and hosts that are not heard.
+func Window(lines []Line, window int64) ([]Line, error) {
+	var first, last time.Time
+	for _, l := range lines {
+		if !l.names(window) {
+			continue
+		}
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	if first.IsZero() {
+		return nil, fmt.Errorf("%w: %d", ErrNoWindow, window)
+	}
+	var out []Line
+	for _, l := range lines {
+		near := !l.Time.Before(first.Add(-windowContext)) && !l.Time.After(last.Add(windowContext))
+		if l.names(window) || near && l.aboutUsage() {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return out, nil
+}
+
+// names reports whether a line is about a usage window.
+func (l *Line) names(window int64) bool {
+	n, ok := l.Fields["window"].(float64)
+	return ok && int64(n) == window
+}
+
+// usageParts begin the messages of the components that decide about usage windows.
+var usageParts = []string{"usage: ", "duty: ", "host: Start", "host: Stop", "control: Another host", "store: "}
+
+// aboutUsage reports whether a line that names no window may explain what became of one.
+func (l *Line) aboutUsage() bool {
+	_, named := l.Fields["window"]
+	return !named && slices.ContainsFunc(usageParts, func(part string) bool { return strings.HasPrefix(l.Message, part) })
+}
+
 // Events returns the lines that are not about requests, ordered by time: the state
 // of the processes and its changes.
 func Events(lines []Line) []Line {
@@ -125,7 +177,7 @@
 		var fields []string
 		for name, value := range l.Fields {
 			if name != "host" && value != "" {
-				fields = append(fields, fmt.Sprintf("%s=%v", name, value))
+				fields = append(fields, fmt.Sprintf("%s=%v", name, whole(value)))
 			}
 		}
 		slices.SortFunc(fields, cmp.Compare)
@@ -135,3 +187,11 @@
 	}
 	return nil
 }
+
+// whole returns a number without a fraction as an integer, which is not printed with an exponent.
+func whole(value any) any {
+	if f, ok := value.(float64); ok && f == math.Trunc(f) && math.Abs(f) < 1<<53 {
+		return int64(f)
+	}
+	return value
+}
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -33,6 +33,9 @@
 	// slots and serviceTime are those of each upstream.
 	slots       = 4
 	serviceTime = 25 * time.Millisecond
+	// reportWindow and usageDue are shorter than usual, so that a run sees some windows.
+	reportWindow = 2 * time.Second
+	usageDue     = 6 * time.Second
 	// hostRowPrefix is the key prefix of the rows by which hosts find each other.
 	hostRowPrefix = "host/"
 )
@@ -41,6 +44,7 @@
 // and the upstreams.
 type deployment struct {
 	store   *standin.Store
+	api     *standin.API
 	hosts   []*host
 	regions map[id.FailureDomain]id.Region
 	record  *record
@@ -87,7 +91,7 @@
 
 func newDeployment(o Options, r *record) (*deployment, error) {
 	d := &deployment{
-		store: standin.NewStore(), regions: map[id.FailureDomain]id.Region{}, record: r,
+		store: standin.NewStore(), api: standin.NewAPI(o.Seed%2 == 0), regions: map[id.FailureDomain]id.Region{}, record: r,
 		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for region := range regions {
@@ -98,10 +102,16 @@
 	if err := d.putInitialState(); err != nil {
 		return nil, err
 	}
+	api, err := net.Listen("tcp", loopback+":0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(api, d.api.Handler()) }()
+	duties := platform.Duties{Address: api.Addr().String(), Names: []platform.DutyName{platform.DutyUsageReport}}
 	for region := range regions {
 		for domain := range domainsPerRegion {
 			for n := range o.HostsPerDomain {
-				if err := d.addHost(o, region, domain, n); err != nil {
+				if err := d.addHost(o, duties, region, domain, n); err != nil {
 					return nil, err
 				}
 			}
@@ -149,7 +159,7 @@
 
 // addHost adds a host with its relays and writes its settings. It doesn't start the
 // process.
-func (d *deployment) addHost(o Options, region, domain, n int) error {
+func (d *deployment) addHost(o Options, duties platform.Duties, region, domain, n int) error {
 	name := id.Host(fmt.Sprintf("host-%d-%d-%d", region, domain, n))
 	basePort, err := d.freePorts()
 	if err != nil {
@@ -171,7 +181,10 @@
 		Host: fleet.Host{ID: name, Region: regionID(region), FailureDomain: domainID(region, domain), Address: loopbackAddress(basePort)},
 		IP:   loopback, ReadyAddress: loopbackAddress(basePort + 1), DirectoryAddress: loopbackAddress(basePort + 2), PeerPort: basePort + 3, Store: h.storeRelay.Address(),
 		Regions: d.regions, MemoryMiB: memoryMiB, Bounds: standin.Bounds(),
+		// Half of the seeds leave the order of calls to the hosts.
+		Duties: duties, Fenced: o.Seed%2 == 0,
 	}
+	h.settings.Bounds["reportWindowS"], h.settings.Bounds["usageLateS"] = reportWindow.Seconds(), usageDue.Seconds()
 	h.settingsPath = filepath.Join(o.Logs, string(name)+".json")
 	d.hosts = append(d.hosts, h)
 	return h.writeSettings()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -217,7 +217,8 @@
 }
 
 // Report is the result of a run. Served, Refused and Failed count attempts; the
-// recovery fields count the requests in the recovery window. Faults are the lines of
+// recovery fields count the requests in the recovery window. Reports counts the calls of the
+// platform's API. Faults are the lines of
 // the fault log.
 type Report struct {
 	Seed             uint64
@@ -226,6 +227,7 @@
 	Refused          int
 	Failed           int
 	Executed         int
+	Reports          int
 	Faults           []string
 	Violations       []string
 	RecoveryRequests int
@@ -234,7 +236,7 @@
 
 // report counts the attempts, makes the checks that need all of them, and returns the
 // report.
-func (r *record) report(seed uint64) *Report {
+func (r *record) report(seed uint64, usage []standin.UsageCall) *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := &Report{Seed: seed, RecoveryRequests: r.recoveryRequests, RecoveryServed: r.recoveryServed}
@@ -263,6 +265,8 @@
 	}
 	r.checkQuota()
 	r.checkArrivals()
+	r.checkUsage(usage)
+	report.Reports = len(usage)
 	report.Violations = slices.Clone(r.violations)
 	return report
 }
@@ -309,8 +313,8 @@
 
 // Write writes the report as text: the counts, and a line for each broken promise.
 func (r *Report) Write(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "seed %d: %d attempts, %d served, %d refused, %d failed, %d executions; %d of %d served at the end; %d faults\n",
-		r.Seed, r.Attempts, r.Served, r.Refused, r.Failed, r.Executed, r.RecoveryServed, r.RecoveryRequests, len(r.Faults))
+	_, _ = fmt.Fprintf(w, "seed %d: %d attempts, %d served, %d refused, %d failed, %d executions; %d usage reports; %d of %d served at the end; %d faults\n",
+		r.Seed, r.Attempts, r.Served, r.Refused, r.Failed, r.Executed, r.Reports, r.RecoveryServed, r.RecoveryRequests, len(r.Faults))
 	for _, b := range r.Violations {
 		_, _ = fmt.Fprintln(w, "broken:", b)
 	}
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -35,6 +35,10 @@
 			modify(e)
 		})
 	}
+	var usage []standin.UsageCall
+	report := func(holder id.Host, token uint64, window int64, count uint64) {
+		usage = append(usage, standin.UsageCall{Holder: holder, Token: token, Window: window, Counts: map[id.Account]uint64{"account-1": count}, At: longAgo, Status: http.StatusOK})
+	}
 	cases := []struct {
 		name    string
 		observe func(r *record)
@@ -102,15 +106,19 @@
 				}))
 			}
 		}},
+		{"two counts of a window", func(*record) { report("a", 1, 7, 5); report("a", 1, 7, 5); report("a", 1, 7, 6) }},
+		{"a falling token", func(*record) { report("a", 2, 7, 5); report("b", 1, 8, 5) }},
+		{"holders a, b, a", func(*record) { report("a", 1, 7, 5); report("b", 2, 8, 5); report("a", 3, 9, 5) }},
 		{"nothing served at the end", func(r *record) { r.checkRecovery(longAgo) }},
 	}
 	var out strings.Builder
 	for _, c := range cases {
 		r := newRecord()
+		usage = nil
 		r.lastFaultEnd = longAgo
 		r.attemptSent(book, "account-1", false, "front")
 		c.observe(r)
-		violations := r.report(1).Violations
+		violations := r.report(1, usage).Violations
 		if wantViolations := c.name != "nothing wrong"; wantViolations != (len(violations) > 0) {
 			t.Errorf("%s: got %d broken promises, want some: %v", c.name, len(violations), wantViolations)
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,7 +74,7 @@
 	stopLoad()
 	load.Wait()
 	s.checkFinalState(ctx, windowStart)
-	report := s.record.report(o.Seed)
+	report := s.record.report(o.Seed, s.api.Calls())
 	report.Faults = s.faultLog
 	return report, report.err()
 }
--- a/pkg/coordination/roster/hub_test.go
+++ b/pkg/coordination/roster/hub_test.go
@@ -34,6 +34,7 @@
 	sequence     id.Sequence
 	stopped      bool
 	readsFailing bool
+	countsUsage  bool
 	// part is the part of the account's quota that the host uses.
 	part  float64
 	inbox []Outgoing
@@ -116,7 +117,7 @@
 	h.sentAt = now
 	h.sequence++
 	own := Digest{
-		Incarnation: 1, Sequence: h.sequence, Host: h.Host, ReadsFailing: h.readsFailing, RequestRate: c.requestRate(h),
+		Incarnation: 1, Sequence: h.sequence, Host: h.Host, ReadsFailing: h.readsFailing, CountsUsage: h.countsUsage, RequestRate: c.requestRate(h),
 		Quota: quota.Report{Demand: map[id.Account]float64{"choir": clusterDemand}, Part: map[id.Account]float64{"choir": h.part}},
 	}
 	messages, _ := h.roster.NextMessages(own, clusterAccounts, now)
