--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -150,8 +150,8 @@
 	u.collector.SetServing(u.host.roster.ServingHosts(u.host.shares.RequestRate(), u.refused, now), interval, now)
 	offset, agreed := u.agreement.Offset()
 	if !agreed {
-		// The collectors need this host's clock for an agreement.
-		u.send(roles.Collectors, func(id.Host) *usage.Report {
+		// The collectors of all regions need each other's clocks for an agreement.
+		u.send(append(slices.Clone(roles.Collectors), roles.SumReceivers...), func(id.Host) *usage.Report {
 			return &usage.Report{Incarnation: u.self.Incarnation, Wall: u.wall()}
 		})
 		return
--- a/pkg/coordination/usage/fleet_test.go
+++ b/pkg/coordination/usage/fleet_test.go
@@ -143,7 +143,10 @@
 		reporter.Confirm(from.name, r.Ack)
 		return
 	}
-	agreed, _ := to.agreement.Now(now)
+	agreed, ok := to.agreement.Now(now)
+	if !ok {
+		agreed = 0
+	}
 	m.send(to, from, &Report{Wall: m.wall(to), Agreed: agreed, Ack: to.collector.Receive(from.name, r), Answers: true, Region: r.Region})
 }
 
@@ -195,9 +198,12 @@
 	}
 	h.collector.SetServing(m.serving(h), interval, now)
 	offset, agreed := h.agreement.Offset()
+	receivers := append(m.collectorsOf("a"), m.collectorsOf("b")...)
 	if !agreed {
-		for _, c := range collectors {
-			m.send(h, c, &Report{Wall: m.wall(h)})
+		for _, c := range receivers {
+			if collects || c.region == h.region {
+				m.send(h, c, &Report{Wall: m.wall(h)})
+			}
 		}
 		return
 	}
@@ -215,7 +221,6 @@
 	if !collects {
 		return
 	}
-	receivers := append(m.collectorsOf("a"), m.collectorsOf("b")...)
 	sums := h.sums.Next(Report{Wall: m.wall(h), Agreed: through, Through: through, Region: h.region}, h.collector.Sums(through), names(receivers))
 	for _, c := range receivers {
 		if c != h {
