--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,7 +134,9 @@
 	store      *platform.Store
 	copies     *copies
 	controller *controller
-	mesh       *host.Mesh[gossip.Message]
+	// usage is nil unless the settings ask for usage reports.
+	usage *usageExchange
+	mesh  *host.Mesh[gossip.Message]
 	// duty is nil unless the settings name a duty that this build knows.
 	duty *dutyRunner
 
@@ -173,16 +175,19 @@
 	})
 	h.copies = newCopies(h.store, c, log.Part("store"), min(s.Bounds.ConfigApply, s.Bounds.Drain))
 	h.controller = newController(h, self, log.Part("control"))
+	h.usage = newUsageExchange(h, self, log.Part("usage"))
 	h.copies.onRead = h.controller.relayToRegion
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
 		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Current: h.controller.current, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
 		Sender: &sender{pool: h.pool, clock: c, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
+		Meter:        h.usage.requestMeter(),
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
 	})
 	if s.Duties.Includes(platform.DutyUsageReport) {
 		h.duty = newDutyRunner(h, platform.DutyUsageReport, self.Incarnation, log.Part("duty"))
+		h.startUsageTask(log.Part("usage"))
 	}
 	h.clientServer = http1.NewServer(&handler{host: h, log: newRequestLog(log.Part("request"), c)}, h.limits, c, h.guard)
 	return h
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,6 +21,7 @@
 type hostMetrics struct {
 	delivered, refused, overQuota, failed, denied, clientLeft metrics.Counter
 	attempts, directory                                       metrics.Counter
+	windowsReported, windowsLeftOut, windowsLate              metrics.Counter
 	dialed, panics, dutyHeld, dutyToken                       metrics.Gauge
 	latency                                                   metrics.Histogram
 }
@@ -34,6 +35,7 @@
 		delivered: counter("requests.delivered"), refused: counter("requests.refused"), overQuota: counter("requests.over_quota"),
 		failed: counter("requests.failed"), denied: counter("requests.denied"), clientLeft: counter("requests.client_left"),
 		attempts: counter("upstreams.attempts"), directory: counter("directory.answers"),
+		windowsReported: counter("usage.windows_reported"), windowsLeftOut: counter("usage.windows_left_out"), windowsLate: counter("usage.windows_late"),
 		dialed:   metrics.NewRegisteredGauge("upstreams.connections_made", r),
 		panics:   metrics.NewRegisteredGauge("host.panics", r),
 		dutyHeld: metrics.NewRegisteredGauge("duty.held", r), dutyToken: metrics.NewRegisteredGauge("duty.token", r),
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/coordination/roster"
+	"celerypin.example/celerypin/pkg/coordination/usage"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/mirror"
@@ -30,13 +31,14 @@
 	mirror.Changes
 }
 
-// Message is what one host sends another: rows, tokens, or a digest, which a hub sends
-// with a bulletin.
+// Message is what one host sends another: rows, tokens, usage, or a digest, which a hub
+// sends with a bulletin.
 type Message struct {
 	Digest   *roster.Digest
 	Bulletin *roster.Bulletin
 	Rows     *Rows
 	Tokens   *Tokens
+	Usage    *usage.Report
 }
 
 type envelope struct {
@@ -47,6 +49,9 @@
 	Bulletin *bulletin `cbor:"bulletin,omitempty"`
 	Rows     *rows     `cbor:"rows,omitempty"`
 	Tokens   *tokens   `cbor:"tokens,omitempty"`
+	// Usage holds counts of requests, or answers a message with counts. It is sent only to
+	// hosts whose digest says that they take it.
+	Usage *usageReport `cbor:"usage,omitempty"`
 }
 
 type digest struct {
@@ -75,6 +80,10 @@
 // earlier builds refuse the whole digest; keys that name none of their tables they ignore.
 const unheardPrefix = "unheard/"
 
+// usageKey is the key of CopyAges that says that the host takes messages with counts, for the
+// same reason.
+const usageKey = "counts_usage"
+
 const millionth = 1e-6
 
 // accountReport is what a host reports about the quota of one account. It is encoded as an
@@ -142,6 +151,9 @@
 	if m.Tokens != nil {
 		e.Tokens = tokensToWire(m.Tokens)
 	}
+	if m.Usage != nil {
+		e.Usage = usageToWire(m.Usage)
+	}
 	return envelopeCodec.Encode(e)
 }
 
@@ -169,6 +181,9 @@
 	if e.Tokens != nil {
 		m.Tokens = tokensFromWire(e.Tokens)
 	}
+	if e.Usage != nil {
+		m.Usage = usageFromWire(e.Usage)
+	}
 	if m == (Message{}) {
 		return e.From, e.To, m, fmt.Errorf("message of host %q: %w", e.From, ErrEmpty)
 	}
@@ -186,6 +201,9 @@
 	}
 	out.Quotas = quotasToWire(d.Quota)
 	out.Outcomes, out.BadReleases = outcomesToWire(d.ReleaseCounts), releasesToWire(d.BadReleases)
+	if d.CountsUsage {
+		out.CopyAges[usageKey] = 1
+	}
 	for domain, part := range d.Unheard {
 		out.CopyAges[unheardPrefix+string(domain)] = uint32(math.Round(part / millionth))
 	}
@@ -261,6 +279,10 @@
 			out.Unheard[id.FailureDomain(domain)] = float64(n) * millionth
 			continue
 		}
+		if key == usageKey {
+			out.CountsUsage = n > 0
+			continue
+		}
 		out.CopyAges[key] = time.Duration(n) * time.Millisecond
 	}
 	for _, q := range d.Quotas {
