Usage messages: ignore unknown elements of counts

Cause: the counts of accounts are arrays, which the merge of the tolerant decoders did not cover. FuzzUnknown failed before: 'cannot decode CBOR array to struct with different number of elements'.

--- a/internal/protocol/gossip/usage.go
+++ b/internal/protocol/gossip/usage.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/pkg/coordination/usage"
 	"celerypin.example/celerypin/pkg/state/id"
 )
@@ -26,9 +27,9 @@
 
 // usageWindow has numbers for the names of its fields in the encoding.
 type usageWindow struct {
-	Window  usage.Window   `cbor:"1,keyasint"`
-	Counts  []accountCount `cbor:"2,keyasint,omitempty"`
-	Missing float32        `cbor:"3,keyasint,omitempty"`
+	Window  usage.Window               `cbor:"1,keyasint"`
+	Counts  codec.Arrays[accountCount] `cbor:"2,keyasint,omitempty"`
+	Missing float32                    `cbor:"3,keyasint,omitempty"`
 }
 
 // accountCount is encoded as an array, because a message holds many.
