--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -148,8 +148,7 @@
 }
 
 // RecordAnswer records that the upstream answered a request about an object, with
-// the actual and the expected latency. Of two concurrent updates of the slowness one
-// may be lost.
+// the actual and the expected latency.
 func (u *Upstream) RecordAnswer(object uint64, latency, expected time.Duration, now clock.Instant) {
 	if u.failures.Load() != 0 {
 		u.failures.Store(0)
@@ -157,6 +156,11 @@
 	if object != 0 {
 		u.objects[object%objectTableSize].Store(object)
 	}
+	u.recordLatency(latency, expected, now)
+}
+
+// recordLatency updates the slowness. Of two concurrent updates one may be lost.
+func (u *Upstream) recordLatency(latency, expected time.Duration, now clock.Instant) {
 	if expected <= 0 {
 		return
 	}
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -60,6 +60,7 @@
 	d.service = d.chooseTarget(d.route.Targets)
 	d.decision.Service = d.service
 	d.retryLimit(d.service).Earn()
+	d.Hedger.Earn(d.service)
 	for {
 		now := d.Clock.Now()
 		remaining := d.deadline.Sub(now)
@@ -78,7 +79,7 @@
 		if status != place.Chosen {
 			return d.noUpstream(status)
 		}
-		exchange := d.send(ctx, choice, remaining)
+		exchange := d.sendHedged(ctx, choice, remaining)
 		if decision, done := d.conclude(ctx, choice, exchange); done {
 			return decision
 		}
@@ -243,6 +244,9 @@
 	}
 	interrupted := ctx.Err() != nil && context.Cause(ctx) != errDeadline
 	switch {
+	case context.Cause(ctx) == errOtherAnswered && (e.Result == NoAnswer || e.Result == NotSent):
+		c.RecordAtLeast(elapsed, now)
+		return
 	case interrupted && e.Result == NoAnswer:
 		// Says nothing about the upstream, but may count against its release.
 	case interrupted && e.Result != Answered:
@@ -251,6 +255,7 @@
 		c.RecordAnswer(elapsed, now)
 	case e.Result == Shed:
 		u.RecordShed(now)
+		d.Hedger.RecordRefusal(d.service, now)
 		return
 	case e.Result == Misdirected:
 		u.MarkDraining()
@@ -300,7 +305,7 @@
 		return d.finish(Delivered, ReasonNone, 0), true
 	}
 	d.newConnection = e.ReusedConnection && (e.Result == NoAnswer || e.Result == NotSent)
-	notRun := e.Result == Shed || e.Result == Misdirected || e.Result == NotSent
+	notRun := e.Result.notRun()
 	d.mayHaveRun = d.mayHaveRun || !notRun
 	retry := (notRun || d.route.Retryable()) && d.mayRetry(e.Result)
 	switch {
@@ -340,6 +345,7 @@
 	decision := d.finish(Refused, ReasonFull, fullRetryDelay)
 	// Clients that come back before an upstream takes requests are refused again.
 	now := d.Clock.Now()
+	d.Hedger.RecordRefusal(d.service, now)
 	decision.RetryAfter += d.Placer.MayServeFrom(d.query(decision.Remaining), now).Sub(now)
 	return decision
 }
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -178,6 +178,8 @@
 	Load float64
 	// LoadAge is the age of the upstream's last load report.
 	LoadAge time.Duration
+	// Hedge describes the second copy of the request, if one was considered.
+	Hedge HedgeRecord
 	// ShareRate and ShareBurst are this host's share of the account's quota, set if
 	// the outcome is OverQuota.
 	ShareRate, ShareBurst float64
@@ -206,6 +208,7 @@
 	// RetryRatio is the number of retries that each request to a service allows this
 	// host, RetryReserve the number of retries allowed at once until SetRetryReserve.
 	RetryRatio, RetryReserve float64
+	Hedging[A]
 }
 
 // Random is a source of random numbers. It is safe for concurrent use.
