--- a/cmd/celerypin/cmds/cmds_test.go
+++ b/cmd/celerypin/cmds/cmds_test.go
@@ -59,6 +59,9 @@
 		{"unknown command", []string{"nosuch"}, ExitUsage, "expected a command"},
 		{"unknown subcommand", []string{"config", "nosuch"}, ExitUsage, "expected a command"},
 		{"unknown flag", []string{"config", "check", "--weight", "3"}, ExitUsage, "weight"},
+		{"more hedging than allowed", []string{"serve", "--hedge-fraction", "0.2"}, ExitUsage, "must be 0 or from 0.001 to 0.1, got 0.2"},
+		{"negative hedging", []string{"serve", "--hedge-fraction=-0.01"}, ExitUsage, "got -0.01"},
+		{"hedging where it has no effect", []string{"serve", "--hedge-fraction", "0.02", "--config", "none"}, ExitUsage, "no effect with --config"},
 		{"demo beyond the limit", []string{"demo", "--for", "1000h"}, ExitUsage, "at most"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/cmd/celerypin/cmds/serve.go
+++ b/cmd/celerypin/cmds/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -19,6 +20,7 @@
 	"celerypin.example/celerypin/internal/edge"
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/protocol/settings"
+	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/platform"
 )
@@ -26,7 +28,10 @@
 // stopTimeout limits a graceful stop.
 const stopTimeout = 60 * time.Second
 
-const metricsPortFlag = "metrics-port"
+const (
+	metricsPortFlag   = "metrics-port"
+	hedgeFractionFlag = "hedge-fraction"
+)
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
@@ -40,11 +45,18 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "read settings from `FILE` instead of the platform's settings file"},
 			&cli.IntFlag{Name: metricsPortFlag, Usage: "serve metrics on `PORT` of the host's address; 0 selects the second port for traffic between hosts"},
+			&cli.FloatFlag{
+				Name: hedgeFractionFlag, Usage: "send a second copy of slow requests, for at most `F` of the requests of a service: 0.001 to 0.1; 0 sends none",
+				Validator: func(f float64) error { return hedge.Fraction(f).Validate() },
+			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if !c.IsSet("config") {
 				return serveOnPlatform(ctx, c)
 			}
+			if c.Float(hedgeFractionFlag) != 0 {
+				return exitWith(ExitUsage, fmt.Errorf("%w: --%s: has no effect with --config; such hosts send no second copies", ErrUsage, hedgeFractionFlag))
+			}
 			s, err := settings.Read[settings.Serve](c.String("config"))
 			if err != nil {
 				return err
@@ -111,6 +123,7 @@
 	if port := c.Int(metricsPortFlag); port != 0 {
 		s.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(port))
 	}
+	s.HedgeFraction = hedge.Fraction(c.Float(hedgeFractionFlag))
 	limitRuntime(s)
 	logWriter := logging.NewAsyncWriter(c.Root().Writer)
 	defer func() { logWriter.Close(time.After(logFlushTimeout)) }()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -176,6 +176,7 @@
 		Sender: &sender{pool: h.pool, clock: c, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
+		Hedging:      h.hedging(s.HedgeFraction),
 	})
 	h.clientServer = http1.NewServer(&handler{host: h, log: newRequestLog(log.Part("request"), c)}, h.limits, c, h.guard)
 	return h
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -28,6 +28,7 @@
 	took := h.host.clock.Now().Sub(c.Arrived)
 	h.host.metrics.count(d.Outcome)
 	h.host.metrics.attempts.Inc(int64(d.Attempts))
+	h.host.metrics.countHedge(&d.Hedge)
 	h.host.metrics.latency.Update(took.Microseconds())
 	h.log.logDecision(request, &d, took)
 	return encodeReply(head, &d)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,6 +20,7 @@
 type hostMetrics struct {
 	delivered, refused, overQuota, failed, denied, clientLeft metrics.Counter
 	attempts, directory                                       metrics.Counter
+	hedgesSent, hedgesWon, hedgesWasted, hedgesSuppressed     metrics.Counter
 	dialed, panics                                            metrics.Gauge
 	latency                                                   metrics.Histogram
 }
@@ -33,6 +34,7 @@
 		delivered: counter("requests.delivered"), refused: counter("requests.refused"), overQuota: counter("requests.over_quota"),
 		failed: counter("requests.failed"), denied: counter("requests.denied"), clientLeft: counter("requests.client_left"),
 		attempts: counter("upstreams.attempts"), directory: counter("directory.answers"),
+		hedgesSent: counter("hedges.sent"), hedgesWon: counter("hedges.won"), hedgesWasted: counter("hedges.wasted_ms"), hedgesSuppressed: counter("hedges.suppressed"),
 		dialed:  metrics.NewRegisteredGauge("upstreams.connections_made", r),
 		panics:  metrics.NewRegisteredGauge("host.panics", r),
 		latency: metrics.NewRegisteredHistogram("requests.latency_us", r, metrics.NewUniformSample(latencySample)),
--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -8,6 +8,7 @@
 
 	"celerypin.example/celerypin/internal/logging"
 	"celerypin.example/celerypin/internal/transport/http1"
+	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
 )
@@ -92,6 +93,12 @@
 	if d.Outcome == steer.OverQuota {
 		line = line.With("share_rate", d.ShareRate).With("share_burst", d.ShareBurst)
 	}
+	if d.Hedge.Sent {
+		line = line.With("hedged", true).With("hedge_delay_ms", d.Hedge.Delay.Milliseconds()).With("hedge_upstream", d.Hedge.Upstream).
+			With("hedge_won", d.Hedge.Won).With("hedge_wasted_ms", d.Hedge.Wasted.Milliseconds())
+	} else if d.Hedge.Suppressed != hedge.ReasonNone {
+		line = line.With("hedge_suppressed", d.Hedge.Suppressed)
+	}
 	if d.Err != nil {
 		line = line.With("error", strings.ReplaceAll(d.Err.Error(), "\n", ": "))
 	}
--- a/pkg/coordination/hedge/quantiles.go
+++ b/pkg/coordination/hedge/quantiles.go
@@ -45,7 +45,8 @@
 	imputed atomic.Int64
 }
 
-// Summary is what requests read of an estimate.
+// Summary is what requests read of an estimate. Of two concurrent updates the older one may
+// be stored last, until the next one.
 type Summary struct {
 	// Observations is the number of observations that the estimate rests on.
 	Observations int64
@@ -73,8 +74,13 @@
 	h := q.cell.Load().filling
 	h.counts[bucketOf(elapsed)].Add(1)
 	n := h.total.Add(1)
-	if n == generation {
-		q.cell.Update(func(g generations) generations { return generations{filling: &histogram{}, full: g.filling} })
+	if n >= generation {
+		q.cell.Update(func(g generations) generations {
+			if g.filling != h {
+				return g
+			}
+			return generations{filling: &histogram{}, full: h}
+		})
 	}
 	if n%summaryInterval == 0 {
 		q.summarize()
