--- a/cmd/celerypin/cmds/serve.go
+++ b/cmd/celerypin/cmds/serve.go
@@ -123,12 +123,11 @@
 	if port := c.Int(metricsPortFlag); port != 0 {
 		s.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(port))
 	}
-	s.HedgeFraction = hedge.Fraction(c.Float(hedgeFractionFlag))
 	limitRuntime(s)
 	logWriter := logging.NewAsyncWriter(c.Root().Writer)
 	defer func() { logWriter.Close(time.After(logFlushTimeout)) }()
 	log := logging.New(io.Writer(logWriter), "info", "json").With("host", s.Host)
-	host := edge.New(s, clock.System{}, log)
+	host := edge.New(s, clock.System{}, log, edge.WithHedging(hedge.Fraction(c.Float(hedgeFractionFlag))))
 	if err := host.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -141,9 +141,11 @@
 	tomb      tomb.Tomb
 }
 
-// New assembles a host. Nothing runs before Start.
-func New(s platform.Settings, c clock.Clock, log *logging.Log) *Host {
+// New assembles a host with what its settings file and the options state. Nothing runs before
+// Start.
+func New(s platform.Settings, c clock.Clock, log *logging.Log, options ...Option) *Host {
 	now := c.Now()
+	o := newOptions(options)
 	h := &Host{clock: c, log: log.Part("host"), registry: metrics.NewRegistry()}
 	h.settings.Store(&s)
 	h.metrics = newHostMetrics(h.registry)
@@ -176,7 +178,7 @@
 		Sender: &sender{pool: h.pool, clock: c, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
-		Hedging:      h.hedging(s.HedgeFraction),
+		Hedging:      h.hedging(o.hedgeFraction),
 	})
 	h.clientServer = http1.NewServer(&handler{host: h, log: newRequestLog(log.Part("request"), c)}, h.limits, c, h.guard)
 	return h
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -32,6 +32,8 @@
 	t     *testing.T
 	store *standin.Store
 	host  *Host
+	// options are those of the host.
+	options []Option
 	// address is the address for clients' requests.
 	address string
 	// sent counts the requests of sendAll.
@@ -60,7 +62,13 @@
 // some. Each of prepare is called with the store before the host starts.
 func startDeployment(t *testing.T, bounds map[string]float64, prepare ...func(*standin.Store)) *testDeployment {
 	t.Helper()
-	d := &testDeployment{t: t, store: standin.NewStore()}
+	return startDeploymentWith(t, nil, bounds, prepare...)
+}
+
+// startDeploymentWith is startDeployment with options of the host.
+func startDeploymentWith(t *testing.T, options []Option, bounds map[string]float64, prepare ...func(*standin.Store)) *testDeployment {
+	t.Helper()
+	d := &testDeployment{t: t, store: standin.NewStore(), options: options}
 	if err := d.store.PutDesired(testDesired()); err != nil {
 		t.Fatal(err)
 	}
@@ -85,7 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.host = New(s, clock.System{}, logging.Discard())
+	d.host = New(s, clock.System{}, logging.Discard(), d.options...)
 	if err := d.host.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/hedging.go
+++ b/internal/edge/hedging.go
@@ -10,6 +10,22 @@
 	"celerypin.example/celerypin/pkg/state/confine"
 )
 
+// Option states what the settings file of the platform does not.
+type Option func(*options)
+
+type options struct{ hedgeFraction hedge.Fraction }
+
+// WithHedging lets the host send a second copy of slow requests, for a fraction of the
+// requests of each service.
+func WithHedging(f hedge.Fraction) Option { return func(o *options) { o.hedgeFraction = f } }
+
+func newOptions(list []Option) (o options) {
+	for _, option := range list {
+		option(&o)
+	}
+	return o
+}
+
 // taskCopy is the second exchange of a hedged request.
 const taskCopy confine.Task = "copy"
 
