--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -41,15 +41,20 @@
 	object := id.Object(fmt.Sprintf("%s-%d", c.Route, m.rng.IntN(c.Objects)))
 	host := m.drawHost()
 	impatient := m.rng.Float64() < m.pattern.impatientFraction
+	attemptID := id.Attempt("model")
+	if m.pattern.heavyRequests > 0 && m.rng.Float64() < m.pattern.heavyRequests {
+		attemptID = heavyAttempt
+	}
 	for attempt := 0; ; attempt++ {
 		remaining := c.Deadline - m.now.Sub(start)
 		m.Sleep(context.Background(), callerLatency)
 		decision := host.Serve(context.Background(), &steer.Request{
-			Attempt: "model", VirtualHost: virtualHost, Path: "/" + string(c.Route) + "/", Object: object,
+			Attempt: attemptID, VirtualHost: virtualHost, Path: "/" + string(c.Route) + "/", Object: object,
 			Key: string(account), HasKey: true, Remaining: remaining, Arrived: m.now, Replayable: true,
 		})
 		m.Sleep(context.Background(), callerLatency)
 		latency := m.now.Sub(start)
+		m.recordHedge(&decision.Hedge)
 		notRun := decision.Outcome == steer.Refused || decision.Outcome == steer.OverQuota
 		delay := decision.RetryAfter
 		if impatient {
@@ -95,6 +100,17 @@
 	return m.hosts[n]
 }
 
+// recordHedge counts what became of a request's second copy.
+func (m *model) recordHedge(r *steer.HedgeRecord) {
+	if m.now < m.measuredFrom || !r.Sent {
+		return
+	}
+	m.result.copies++
+	if r.Won {
+		m.result.copiesWon++
+	}
+}
+
 // record counts a request in the result, unless the run is still in its warm-up.
 func (m *model) record(c *class, account id.Account, region id.Region, outcome steer.Outcome, reason steer.Reason, latency time.Duration) {
 	if m.now < m.measuredFrom {
--- a/internal/loadmodel/experiment.go
+++ b/internal/loadmodel/experiment.go
@@ -84,7 +84,7 @@
 	for _, p := range e.Policies {
 		policyRuns := PolicyRuns{Policy: p}
 		for _, seed := range e.Seeds {
-			policyRuns.Runs = append(policyRuns.Runs, run(e.Pattern, p.Policy, seed).withSummary())
+			policyRuns.Runs = append(policyRuns.Runs, run(e.Pattern, p.Policy, 0, seed).withSummary())
 		}
 		policyRuns.MeanEarned = policyRuns.mean(func(r *Result) float64 { return r.Earned })
 		policyRuns.MeanWorstRegion = policyRuns.mean(func(r *Result) float64 { return r.WorstRegion })
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
@@ -65,8 +66,8 @@
 	lastReport quota.Report
 }
 
-// run simulates a pattern under a policy. Equal seeds give equal results.
-func run(p Pattern, policy place.Policy, seed uint64) Result {
+// run simulates a pattern under a policy and a bound of hedged requests. Equal seeds give equal results.
+func run(p Pattern, policy place.Policy, hedged hedge.Fraction, seed uint64) Result {
 	m := &model{
 		simulation: newSimulation(), pattern: p, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
 	}
@@ -74,13 +75,16 @@
 	m.result = newResult(p.Duration)
 	m.state = desiredState()
 	m.addUpstreams()
-	m.addHosts(policy)
+	m.addHosts(policy, hedged)
 	m.every(exchangeInterval, m.exchangeReports)
 	m.after(p.WarmUp, m.applyPattern)
 	for i := range classes {
 		m.scheduleArrivals(&classes[i])
 	}
 	m.simulation.run(m.measuredFrom.Add(p.Duration))
+	for _, u := range m.upstreams {
+		m.result.busy += u.busy
+	}
 	return m.result
 }
 
@@ -143,7 +147,7 @@
 func (m *model) addUpstream(g group, r, d int) *upstream {
 	name := id.Upstream(fmt.Sprintf("upstream-%d", len(m.upstreams)))
 	u := &upstream{
-		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1,
+		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1, heavyRuns: m.pattern.heavyRuns,
 		info: fleet.Upstream{
 			ID: name, Service: g.Service, Release: currentRelease, Region: regionID(r), FailureDomain: domainID(r, d),
 			Address: string(name), Slots: g.Slots, State: fleet.UpstreamLive, Incarnation: 1,
@@ -154,11 +158,11 @@
 	return u
 }
 
-func (m *model) addHosts(policy place.Policy) {
+func (m *model) addHosts(policy place.Policy, hedged hedge.Fraction) {
 	for r := range regions {
 		for d := range domainsPerRegion {
 			for range hostsPerDomain {
-				m.addHost(r, d, policy)
+				m.addHost(r, d, policy, hedged)
 			}
 		}
 	}
@@ -176,7 +180,7 @@
 	maxShift = 0.15
 )
 
-func (m *model) addHost(r, d int, policy place.Policy) {
+func (m *model) addHost(r, d int, policy place.Policy, hedged hedge.Fraction) {
 	h := &entryHost{region: regionID(r), domain: domainID(r, d), placer: place.New(regionID(r), domainID(r, d), maxShift, policy)}
 	h.shares = quota.New(quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, m.now)
 	splits := release.NewSplits()
@@ -184,6 +188,7 @@
 		State: rcu.New(m.state), Shares: h.shares, Draw: steer.NoPool, Current: steer.AlwaysCurrent, Placer: h.placer, Splits: splits, Recorder: release.NewRecorder(splits),
 		Approved: func(id.Service) id.Release { return currentRelease },
 		Sender:   &sender{m, h}, Clock: m.simulation, Random: m.rng, RetryRatio: retryRatio, RetryReserve: retryReserve,
+		Hedging: steer.Hedging[struct{}]{Hedger: hedge.New(hedged), Runner: m.simulation, Discard: func(struct{}) {}},
 	})
 	m.hosts = append(m.hosts, h)
 }
@@ -256,6 +261,19 @@
 	if m.pattern.domainLost {
 		m.loseDomain()
 	}
+	if m.pattern.phaseFraction > 0 {
+		m.every(slowPhase, m.nextPhase)
+	}
+}
+
+// nextPhase draws the upstreams that are slow until the next phase.
+func (m *model) nextPhase() {
+	for _, u := range m.upstreams {
+		u.slowdown = 1
+		if m.rng.Float64() < m.pattern.phaseFraction {
+			u.slowdown = phaseSlowFactor
+		}
+	}
 }
 
 // domainDowntime is how long the upstreams of a lost failure domain are down.
@@ -296,11 +314,19 @@
 	}
 	deadline := m.now.Add(params.Remaining)
 	m.Sleep(ctx, latency)
-	j := &job{class: classOf(r), object: r.Object, deadline: deadline, caller: m.current}
+	if ctx.Err() != nil {
+		return steer.Exchange[struct{}]{Result: steer.NoAnswer, Err: ctx.Err()}
+	}
+	j := &job{class: classOf(r), object: r.Object, deadline: deadline, caller: m.current, heavy: r.Attempt == heavyAttempt}
 	if !u.enqueue(j) {
 		j.outcome = outcomeShed
 	} else {
+		onCancel(ctx, func() { u.cancel(j) })
 		m.yield()
+		onCancel(ctx, nil)
+	}
+	if j.outcome == outcomeCancelled {
+		return steer.Exchange[struct{}]{Result: steer.NoAnswer, Err: ctx.Err()}
 	}
 	running, waiting := u.load()
 	m.Sleep(ctx, latency)
--- a/internal/loadmodel/pattern.go
+++ b/internal/loadmodel/pattern.go
@@ -65,6 +65,12 @@
 	// domainLost stops the upstreams of one failure domain after the warm-up, and
 	// restarts them cold after domainDowntime.
 	domainLost bool
+	// heavyRuns is the fraction of the runs at upstreams that take heavyFactor times as long,
+	// heavyRequests that of the requests all of whose runs do.
+	heavyRuns, heavyRequests float64
+	// phaseFraction is the fraction of upstreams that are phaseSlowFactor times slower, drawn
+	// again each slowPhase.
+	phaseFraction float64
 	// thinFraction is the fraction of its usual upstreams that the first region has.
 	thinFraction float64
 }
@@ -72,6 +78,16 @@
 const (
 	defaultWarmUp   = 8 * time.Second
 	defaultDuration = 15 * time.Second
+	// longWarmUp lets each host learn the response times of hedged requests, longDuration
+	// gives enough requests for the quantile of 0.999.
+	longWarmUp   = time.Minute
+	longDuration = time.Minute
+	// phaseSlowFactor multiplies the service time of the upstreams that are slow in a phase.
+	phaseSlowFactor = 2.5
+	// slowPhase is the time after which other upstreams are slow.
+	slowPhase = 600 * time.Millisecond
+	// heavyAttempt is the attempt of requests that are heavy work at every upstream.
+	heavyAttempt = id.Attempt("model-heavy")
 	// slowFactor multiplies the service time of slow upstreams.
 	slowFactor = 5
 	// greyFailureRate is the fraction of their requests that grey upstreams fail.
@@ -94,13 +110,17 @@
 		{Name: "thin_region", Description: "one region has a third of its upstreams", thinFraction: 0.34},
 		{Name: "cold_return", Description: "a failure domain's upstreams are lost and come back cold", domainLost: true},
 		{Name: "join", Description: "a quarter more upstreams of one service start, cold", joiningUpstreams: 5},
+		{Name: "heavy_runs", Description: "3 in 100 runs take seven times as long", heavyRuns: 0.03, WarmUp: longWarmUp, Duration: longDuration},
+		{Name: "heavy_requests", Description: "3 in 100 requests take seven times as long at every upstream", heavyRequests: 0.03, WarmUp: longWarmUp, Duration: longDuration},
+		{Name: "slow_long", Description: "one in six upstreams takes five times as long, for a minute", slowFraction: 0.16, WarmUp: longWarmUp, Duration: longDuration},
+		{Name: "slow_phases", Description: "15 in 100 upstreams take 2.5 times as long, others each 600 ms", phaseFraction: 0.15, WarmUp: longWarmUp, Duration: longDuration},
 	}
 	for i := range list {
 		p := &list[i]
 		if p.Duration == 0 {
 			p.Duration = defaultDuration
 		}
-		if p.Name != "start" {
+		if p.Name != "start" && p.WarmUp == 0 {
 			p.WarmUp = defaultWarmUp
 		}
 		p.loadFactor, p.hotFactor, p.thinFraction = valueOrOne(p.loadFactor), valueOrOne(p.hotFactor), valueOrOne(p.thinFraction)
--- a/internal/loadmodel/result.go
+++ b/internal/loadmodel/result.go
@@ -35,6 +35,12 @@
 	byAccount map[id.Account]*worth
 	bySecond  []worth
 	latencies []time.Duration
+	// repeatable are the latencies of the answered requests that may run twice.
+	repeatable []time.Duration
+	// copies counts the second copies of requests, copiesWon those whose answer was used.
+	copies, copiesWon int
+	// busy is the time for which slots of upstreams were used, warm-up included.
+	busy time.Duration
 }
 
 // worth sums what requests earned, and what they would have earned within their
@@ -78,6 +84,9 @@
 	}
 	if outcome == steer.Delivered {
 		r.latencies = append(r.latencies, latency)
+		if c.Idempotent {
+			r.repeatable = append(r.repeatable, latency)
+		}
 	}
 	if r.byRegion[region] == nil {
 		r.byRegion[region] = &worth{}
--- a/internal/loadmodel/upstream.go
+++ b/internal/loadmodel/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -27,9 +28,13 @@
 	// slowdown multiplies the service time; failureRate is the fraction of requests
 	// that fail.
 	slowdown, failureRate float64
+	// heavyRuns is the fraction of runs that take heavyFactor times as long.
+	heavyRuns float64
 	// coldUntil is the end of the slow phase after a start.
 	coldUntil clock.Instant
 	served    int
+	// busy is the time for which slots were used.
+	busy time.Duration
 }
 
 // job is one request at an upstream.
@@ -41,6 +46,11 @@
 	// outcome is set when the job is done, before the caller is woken.
 	outcome jobOutcome
 	done    bool
+	// heavy reports whether the request is heavy work at every upstream.
+	heavy bool
+	// running and ended report whether it has got a slot and whether it has given it back.
+	running, ended bool
+	startedAt      clock.Instant
 }
 
 // jobOutcome is how a request at an upstream ended, as its caller sees it.
@@ -51,6 +61,8 @@
 	outcomeFailed
 	outcomeShed
 	outcomeLate
+	// outcomeCancelled means that the host closed the connection.
+	outcomeCancelled
 )
 
 const (
@@ -61,6 +73,11 @@
 	coldFactor = 2
 	// failureLatency is the time after which an upstream answers a request that fails.
 	failureLatency = 20 * time.Millisecond
+	// heavyFactor multiplies the service time of heavy work.
+	heavyFactor = 7
+	// cancelledRunTime is the time for which an upstream goes on with a request whose
+	// connection was closed: the longest that the platform promises.
+	cancelledRunTime = 500 * time.Millisecond
 )
 
 // enqueue starts or queues a request. The caller's process must then yield until it
@@ -90,6 +107,36 @@
 	u.finish(j, outcomeLate)
 }
 
+// cancel ends a request whose connection was closed. If it runs, its slot is free after
+// cancelledRunTime.
+func (u *upstream) cancel(j *job) {
+	if j.done {
+		return
+	}
+	if i := slices.Index(u.queue, j); i >= 0 {
+		u.queue = slices.Delete(u.queue, i, i+1)
+	}
+	if j.running {
+		u.sim.after(cancelledRunTime, func() {
+			if u.release(j) {
+				u.startQueued()
+			}
+		})
+	}
+	u.finish(j, outcomeCancelled)
+}
+
+// release gives back the slot of a job, and reports whether it had one.
+func (u *upstream) release(j *job) bool {
+	if j.ended {
+		return false
+	}
+	j.ended = true
+	u.running--
+	u.busy += u.sim.now.Sub(j.startedAt)
+	return true
+}
+
 func (u *upstream) finish(j *job, o jobOutcome) {
 	j.done, j.outcome = true, o
 	u.sim.wake(j.caller)
@@ -111,9 +158,12 @@
 	if u.rng.Float64() < u.failureRate {
 		outcome, duration = outcomeFailed, failureLatency
 	}
+	j.running, j.startedAt = true, u.sim.now
 	u.sim.after(duration, func() {
-		u.running--
-		if outcome == outcomeServed {
+		if !u.release(j) {
+			return
+		}
+		if outcome == outcomeServed && j.outcome != outcomeCancelled {
 			u.markWarm(j.object)
 			u.served++
 		}
@@ -133,6 +183,9 @@
 	if u.sim.now < u.coldUntil {
 		serviceTime *= coldFactor
 	}
+	if j.heavy || (u.heavyRuns > 0 && u.rng.Float64() < u.heavyRuns) {
+		serviceTime *= heavyFactor
+	}
 	return time.Duration(serviceTime * u.slowdown)
 }
 
