--- a/internal/loadmodel/result.go
+++ b/internal/loadmodel/result.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/id"
 )
@@ -39,6 +40,8 @@
 	repeatable []time.Duration
 	// copies counts the second copies of requests, copiesWon those whose answer was used.
 	copies, copiesWon int
+	// suppressed counts the slow requests without a copy by the reason.
+	suppressed map[hedge.Reason]int
 	// busy is the time for which slots of upstreams were used, warm-up included.
 	busy time.Duration
 }
@@ -57,7 +60,8 @@
 
 func newResult(duration time.Duration) Result {
 	return Result{
-		byRegion: map[id.Region]*worth{}, byAccount: map[id.Account]*worth{}, bySecond: make([]worth, int(duration/time.Second)+1),
+		suppressed: map[hedge.Reason]int{},
+		byRegion:   map[id.Region]*worth{}, byAccount: map[id.Account]*worth{}, bySecond: make([]worth, int(duration/time.Second)+1),
 	}
 }
 
--- a/pkg/coordination/hedge/hedge.go
+++ b/pkg/coordination/hedge/hedge.go
@@ -126,7 +126,8 @@
 // Observe counts the response time of a first exchange.
 func (h *Hedger) Observe(k Key, elapsed time.Duration) { h.streams.get(k).Observe(elapsed) }
 
-// ObserveAtLeast counts a first exchange that was cancelled after elapsed.
+// ObserveAtLeast counts a first exchange that ended without an answer after elapsed, because
+// it was cancelled or the deadline passed.
 func (h *Hedger) ObserveAtLeast(k Key, elapsed time.Duration) {
 	h.streams.get(k).ObserveAtLeast(elapsed)
 }
--- a/pkg/coordination/hedge/quantiles.go
+++ b/pkg/coordination/hedge/quantiles.go
@@ -41,7 +41,7 @@
 type Quantiles struct {
 	cell    *rcu.Cell[generations]
 	summary atomic.Pointer[Summary]
-	// imputed numbers the cancelled exchanges.
+	// imputed numbers the exchanges that were cut off.
 	imputed atomic.Int64
 }
 
@@ -87,7 +87,7 @@
 	}
 }
 
-// ObserveAtLeast counts an exchange that was cancelled after elapsed. It would have taken
+// ObserveAtLeast counts an exchange that was cut off after elapsed. It would have taken
 // longer, so it is counted where the estimate has exchanges that took longer: each of them
 // in turn, so that the shape of the tail is kept (Efron's redistribution to the right).
 // Counted at elapsed, the hedged requests would hide the tail that they are sent for.
--- a/pkg/coordination/place/second.go
+++ b/pkg/coordination/place/second.go
@@ -17,9 +17,9 @@
 // ChooseSecond chooses the upstream for a second copy of a request whose first copy runs
 // where first says, and takes a slot there. Only an upstream with a free slot comes into
 // question that is usable and not cold, in the host's own region or that of the first copy.
-// It compares the first Policy.Candidates of them in the order of ownership, so that copies
-// do not spread an object over many upstreams. The room is that of the chosen region, or
-// zero if there is no such upstream, and then the choice is nil.
+// It compares the first Policy.Candidates of them in the order of ownership and all that know
+// the object, so that copies do not spread an object over many upstreams. The room is that of
+// the chosen region, or zero if there is no such upstream, and then the choice is nil.
 func (p *Placer) ChooseSecond(q *Query, first *Choice, now clock.Instant) (*Choice, Room) {
 	s := (*p.services.Load())[q.Service]
 	if s == nil {
@@ -51,7 +51,7 @@
 	var best *Choice
 	compared := 0
 	for i, u := range byOwnership(list, q, object, now) {
-		if u.Cold(now) || u.Load(now)+1 > float64(u.Info.Slots) {
+		if u.Cold(now) || u.Load(now)+1 > float64(u.Info.Slots) || (compared >= p.policy.Candidates && !u.Knows(object)) {
 			continue
 		}
 		c, _ := p.estimate(u, q, object, t, 0, now)
@@ -59,12 +59,10 @@
 			continue
 		}
 		c.rank = i
+		compared++
 		if best == nil || c.Expected() < best.Expected() {
 			best = c
 		}
-		if compared++; compared >= p.policy.Candidates {
-			break
-		}
 	}
 	return best
 }
--- a/pkg/coordination/steer/hedge.go
+++ b/pkg/coordination/steer/hedge.go
@@ -137,10 +137,14 @@
 	return d.settle(h, e, elapsed, stop)
 }
 
-// observe counts the response time of an answered exchange.
+// observe counts the response time of an exchange that was answered or ran into the deadline.
 func (d *dispatch[A]) observe(key hedge.Key, e Exchange[A], elapsed time.Duration) {
-	if e.Result == Answered {
+	deadlinePassed := e.Result == AnsweredTimeout || (e.Result == NoAnswer && d.deadline.Sub(d.Clock.Now()) < minRemaining)
+	switch {
+	case e.Result == Answered:
 		d.Hedger.Observe(key, elapsed)
+	case deadlinePassed:
+		d.Hedger.ObserveAtLeast(key, elapsed)
 	}
 }
 
