--- a/pkg/coordination/place/second.go
+++ b/pkg/coordination/place/second.go
@@ -19,7 +19,7 @@
 // question that is usable and not cold, in the host's own region or that of the first copy.
 // It compares the first Policy.Candidates of them in the order of ownership and all that know
 // the object, so that copies do not spread an object over many upstreams. The room is that of
-// the chosen region, or zero if there is no such upstream, and then the choice is nil.
+// the chosen region without the copy, or zero if there is no such upstream, and then the choice is nil.
 func (p *Placer) ChooseSecond(q *Query, first *Choice, now clock.Instant) (*Choice, Room) {
 	s := (*p.services.Load())[q.Service]
 	if s == nil {
@@ -42,8 +42,9 @@
 	if best == nil {
 		return nil, Room{}
 	}
+	room := roomOf(g[best.Upstream.Info.Region], now)
 	best.Upstream.inFlight.Add(1)
-	return best, roomOf(g[best.Upstream.Info.Region], now)
+	return best, room
 }
 
 // secondIn returns the upstream of the list that is expected to answer first, or nil.
