--- a/internal/edge/hedging_test.go
+++ b/internal/edge/hedging_test.go
@@ -29,8 +29,10 @@
 	// whole is what the other one answers.
 	whole   func(attempt id.Attempt) string
 	arrived atomic.Int64
-	second  chan struct{}
-	closed  chan struct{}
+	// answeredAt is when the other one answers, closedAt when the connection is closed.
+	answeredAt, closedAt time.Time
+	second               chan struct{}
+	closed               chan struct{}
 }
 
 func (p *slowPair) serve(conn net.Conn, _ int, attempt id.Attempt) {
@@ -45,11 +47,13 @@
 	if n != p.loser {
 		// Both copies are under way before one answers.
 		<-p.second
+		p.answeredAt = time.Now()
 		_, _ = io.WriteString(conn, p.whole(attempt))
 		return
 	}
 	_, _ = io.WriteString(conn, p.partial(attempt))
 	_, _ = conn.Read(make([]byte, 1))
+	p.closedAt = time.Now()
 	close(p.closed)
 }
 
@@ -94,10 +98,9 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			d.readOneAnswer(c.length)
-			select {
-			case <-p.closed:
-			case <-time.After(stopBound):
-				t.Errorf("the connection of the cancelled exchange was still open after %v", stopBound)
+			<-p.closed
+			if got := p.closedAt.Sub(p.answeredAt); got > stopBound {
+				t.Errorf("the connection of the cancelled exchange was open until %v after the answer, want at most %v", got, stopBound)
 			}
 			if got := d.host.metrics.hedgesSent.Count(); got != 1 {
 				t.Errorf("got %d copies, want 1", got)
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -244,9 +244,9 @@
 	}
 	interrupted := ctx.Err() != nil && context.Cause(ctx) != errDeadline
 	switch {
-	case context.Cause(ctx) == errOtherAnswered && (e.Result == NoAnswer || e.Result == NotSent):
+	case context.Cause(ctx) == errOtherAnswered && e.Result == NoAnswer:
+		// Counts against the release below if it was slow already.
 		c.RecordAtLeast(elapsed, now)
-		return
 	case interrupted && e.Result == NoAnswer:
 		// Says nothing about the upstream, but may count against its release.
 	case interrupted && e.Result != Answered:
--- a/pkg/coordination/steer/hedge_test.go
+++ b/pkg/coordination/steer/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/limit"
 	"celerypin.example/celerypin/pkg/coordination/place"
+	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
 )
 
@@ -106,12 +108,18 @@
 // requests that must not or need not run twice.
 func TestHedgedOutcomes(t *testing.T) {
 	ends := func(r Result) func(context.Context) Result { return func(context.Context) Result { return r } }
-	cancelled := func(ctx context.Context) Result {
+	awaitCancel := func(ctx context.Context) {
 		<-ctx.Done()
+		if got := context.Cause(ctx); !errors.Is(got, errOtherAnswered) {
+			t.Errorf("got an exchange that ended with %v, want it cancelled by the other's answer", got)
+		}
+	}
+	cancelled := func(ctx context.Context) Result {
+		awaitCancel(ctx)
 		return NoAnswer
 	}
 	late := func(ctx context.Context) Result {
-		<-ctx.Done()
+		awaitCancel(ctx)
 		return Answered
 	}
 	var out strings.Builder
@@ -196,8 +204,9 @@
 	return n
 }
 
-// TestCancelledExchangeIsNoFailure guards against an upstream that is avoided, or a release
-// that is blamed, because its exchange was cancelled when the other one answered.
+// TestCancelledExchangeIsNoFailure guards against an upstream that is avoided because its
+// exchange was cancelled when the other one answered, and against a slow release that is not
+// found because copies answer its slow requests.
 func TestCancelledExchangeIsNoFailure(t *testing.T) {
 	f := newHedgeFixture(hedge.Key{Service: "viewer", Route: "look"})
 	f.exchanges = [2]func(context.Context) Result{
@@ -208,12 +217,21 @@
 		},
 		func(context.Context) Result { return Answered },
 	}
+	f.startRollout("viewer")
+	f.Recorder.Record(release.RouteRelease{Service: "viewer", Release: "v1", Route: "look"}, time.Microsecond, release.Answered)
 	d := f.Serve(context.Background(), f.request("/look/1", "k"))
+	slow, failed := int64(0), int64(0)
+	for _, c := range f.Recorder.Counts() {
+		slow, failed = slow+int64(c.Slow), failed+int64(c.Failed)
+	}
+	if slow != 1 || failed != 0 {
+		t.Errorf("got %d slow, %d failed, want one slow request", slow, failed)
+	}
 	if !d.Hedge.Won {
 		t.Fatalf("got %+v, want the copy's answer", d)
 	}
 	route, _ := (*f.State.Load()).Match("a.example", "/look/1")
-	q := &place.Query{Service: "viewer", Release: "v1", Route: route, Object: "17", Remaining: time.Second}
+	q := &place.Query{Service: "viewer", Release: f.firstSent.Info.Release, Route: route, Object: "17", Remaining: time.Second}
 	for _, u := range f.Placer.Upstreams() {
 		if u.Info.ID != f.firstSent.Info.ID {
 			q.Tried = append(q.Tried, u)
