--- a/pkg/coordination/steer/hedge_test.go
+++ b/pkg/coordination/steer/hedge_test.go
@@ -44,7 +44,9 @@
 	f.Sender = f
 	f.Hedging = Hedging[string]{Hedger: hedge.New(hedge.MaxFraction), Runner: f, Discard: func(string) { f.discarded.Add(1) }}
 	for i := range 320 {
-		f.Hedger.Observe(hedge.Key{Service: "viewer", Route: "look"}, []time.Duration{50 * time.Millisecond, hedgeDelay, 3 * time.Second}[max(i%32-29, 0)])
+		elapsed := []time.Duration{50 * time.Millisecond, hedgeDelay, 3 * time.Second}[max(i%32-29, 0)]
+		f.Hedger.Observe(hedge.Key{Service: "viewer", Route: "look"}, elapsed)
+		f.Hedger.Observe(hedge.Key{Service: "viewer", Route: "swap"}, elapsed)
 	}
 	return f
 }
