--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -7,6 +7,7 @@
 
 	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/steer"
+	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 )
 
@@ -41,7 +42,13 @@
 	account := m.drawAccount()
 	object := id.Object(fmt.Sprintf("%s-%d", c.Route, m.arrivals.IntN(c.Objects)))
 	host := m.drawHost()
+	m.sendTo(c, host, start, account, object)
+}
+
+// sendTo simulates a caller's request to a host with its retries.
+func (m *model) sendTo(c *class, host *entryHost, start clock.Instant, account id.Account, object id.Object) {
 	impatient := m.arrivals.Float64() < m.pattern.impatientFraction
+	retries := m.pattern.callerRetries(impatient)
 	attemptID := id.Attempt("model")
 	if m.pattern.heavyRequests > 0 && m.arrivals.Float64() < m.pattern.heavyRequests {
 		attemptID = heavyAttempt
@@ -61,9 +68,10 @@
 		if impatient {
 			delay = impatientRetryDelay
 		}
-		retry := (notRun || (c.Idempotent && decision.Outcome != steer.Delivered)) && attempt < maxCallerRetries
+		retry := (notRun || (c.Idempotent && decision.Outcome != steer.Delivered)) && attempt < retries
 		if !retry || float64(delay) > maxWaitFraction*float64(c.Deadline-latency) {
 			m.record(c, account, host.region, decision.Outcome, decision.Reason, latency)
+			m.recordArrival(c, start, decision.Reason)
 			return
 		}
 		m.Sleep(context.Background(), delay)
--- a/internal/loadmodel/hedging.go
+++ b/internal/loadmodel/hedging.go
@@ -65,7 +65,7 @@
 		var busy time.Duration
 		b := BoundRuns{Fraction: f, Suppressed: map[hedge.Reason]int{}}
 		for _, seed := range e.Seeds {
-			r := run(e.Pattern, e.Policy.Policy, f, seed).withSummary()
+			r := run(e.Pattern, e.Policy, f, seed).withSummary()
 			latencies = append(latencies, r.repeatable...)
 			copies, won, busy = copies+r.copies, won+r.copiesWon, busy+r.busy
 			b.Requests, b.Unserved = b.Requests+r.Requests, b.Unserved+r.Refused+r.Failed
--- a/internal/loadmodel/hedging_test.go
+++ b/internal/loadmodel/hedging_test.go
@@ -27,7 +27,7 @@
 	}
 	p.WarmUp, p.Duration = 25*time.Second, 10*time.Second
 	const bound = 0.05
-	a, b := run(p, place.DefaultPolicy(), bound, 1).withSummary(), run(p, place.DefaultPolicy(), bound, 1).withSummary()
+	a, b := run(p, Policies()[0], bound, 1).withSummary(), run(p, Policies()[0], bound, 1).withSummary()
 	if !reflect.DeepEqual(a, b) {
 		t.Errorf("got %+v and %+v, want the same", a, b)
 	}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -11,6 +11,7 @@
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
+	"celerypin.example/celerypin/pkg/coordination/room"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
@@ -43,8 +44,9 @@
 // model is one simulated run of a pattern under a policy.
 type model struct {
 	*simulation
-	pattern Pattern
-	rng     *rand.Rand
+	pattern  Pattern
+	division Division
+	rng      *rand.Rand
 	// arrivals and faults draw the requests and the faults of the pattern; they are rng unless
 	// the pattern has draws of its own.
 	arrivals, faults *rand.Rand
@@ -55,6 +57,12 @@
 	// measuredFrom is the end of the warm-up, from which requests count.
 	measuredFrom clock.Instant
 	result       Result
+	// records are the counted requests, by which the upper bound is computed.
+	records []arrival
+	// capacity is the part of each step of boundStep that upstreams could work, in slots.
+	capacity []float64
+	// heard are the rates that hosts reported last.
+	heard []heardReport
 }
 
 // entryHost is one simulated entry host: the product's own decision code with its
@@ -67,12 +75,16 @@
 	shares *quota.Shares
 	// lastReport is the report that the other hosts use.
 	lastReport quota.Report
+	// divisions compute the host's parts of the upstreams of each region, credits are
+	// those that upstreams have handed out.
+	divisions map[id.Region]*room.Division
+	credits   map[id.Upstream]room.Places
 }
 
 // run simulates a pattern under a policy and a bound of hedged requests. Equal seeds give equal results.
-func run(p Pattern, policy place.Policy, hedged hedge.Fraction, seed uint64) Result {
+func run(p Pattern, policy NamedPolicy, hedged hedge.Fraction, seed uint64) Result {
 	m := &model{
-		simulation: newSimulation(), pattern: p, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
+		simulation: newSimulation(), pattern: p, division: policy.Division, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
 	}
 	m.arrivals, m.faults = m.rng, m.rng
 	if p.ownDraws {
@@ -80,18 +92,25 @@
 	}
 	m.measuredFrom = m.now.Add(p.WarmUp)
 	m.result = newResult(p.Duration)
-	m.state = desiredState()
+	m.state = desiredState(&p)
 	m.addUpstreams()
-	m.addHosts(policy, hedged)
+	m.addHosts(policy.Policy, hedged)
 	m.every(exchangeInterval, m.exchangeReports)
 	m.after(p.WarmUp, m.applyPattern)
-	for i := range classes {
-		m.scheduleArrivals(&classes[i])
+	if p.overload != nil {
+		m.startOverload()
+	} else {
+		for i := range classes {
+			m.scheduleArrivals(&classes[i])
+		}
 	}
 	m.simulation.run(m.measuredFrom.Add(p.Duration))
 	for _, u := range m.upstreams {
 		m.result.busy += u.busy
 	}
+	if p.overload != nil {
+		m.result.UpperBound = m.upperBound()
+	}
 	return m.result
 }
 
@@ -112,7 +131,8 @@
 
 // desiredState returns the desired state with the routes, services and accounts of
 // the simulated deployment.
-func desiredState() *desired.State {
+func desiredState(p *Pattern) *desired.State {
+	classes := p.classes()
 	s := &desired.State{Version: 1}
 	rate := 0.0
 	for i := range classes {
@@ -130,6 +150,9 @@
 	}
 	for n := range accounts {
 		accountRate := rate * accountFraction(n) * quotaFactor
+		if p.unlimitedAccounts() {
+			accountRate = manyAccountRate
+		}
 		s.Accounts = append(s.Accounts, &desired.Account{ID: accountID(n), Keys: []string{string(accountID(n))}, Rate: accountRate, Burst: accountRate})
 	}
 	return s.Compile()
@@ -138,7 +161,7 @@
 func (m *model) addUpstreams() {
 	for r := range regions {
 		for d := range domainsPerRegion {
-			for _, g := range groups {
+			for _, g := range m.pattern.groups() {
 				count := g.Count
 				if r == 0 {
 					count = max(int(math.Round(float64(count)*m.pattern.thinFraction)), 1)
@@ -154,7 +177,8 @@
 func (m *model) addUpstream(g group, r, d int) *upstream {
 	name := id.Upstream(fmt.Sprintf("upstream-%d", len(m.upstreams)))
 	u := &upstream{
-		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1, heavyRuns: m.pattern.heavyRuns,
+		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1,
+		heavyRuns: m.pattern.heavyRuns, demand: map[*entryHost]int{},
 		info: fleet.Upstream{
 			ID: name, Service: g.Service, Release: currentRelease, Region: regionID(r), FailureDomain: domainID(r, d),
 			Address: string(name), Slots: g.Slots, State: fleet.UpstreamLive, Incarnation: 1,
@@ -168,7 +192,7 @@
 func (m *model) addHosts(policy place.Policy, hedged hedge.Fraction) {
 	for r := range regions {
 		for d := range domainsPerRegion {
-			for range hostsPerDomain {
+			for range m.pattern.hostsIn(r, d) {
 				m.addHost(r, d, policy, hedged)
 			}
 		}
@@ -189,6 +213,10 @@
 
 func (m *model) addHost(r, d int, policy place.Policy, hedged hedge.Fraction) {
 	h := &entryHost{region: regionID(r), domain: domainID(r, d), placer: place.New(regionID(r), domainID(r, d), maxShift, policy)}
+	h.divisions, h.credits = map[id.Region]*room.Division{}, map[id.Upstream]room.Places{}
+	for region := range regions {
+		h.divisions[regionID(region)] = room.New(id.Host(fmt.Sprint(len(m.hosts))))
+	}
 	h.shares = quota.New(quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, m.now)
 	splits := release.NewSplits()
 	h.Steerer = steer.New(steer.Dependencies[struct{}]{
@@ -214,15 +242,17 @@
 		demand[r] /= sum
 	}
 	listings := m.listingsByRegion()
+	m.exchangeRates(demand)
 	for _, h := range m.hosts {
 		peerTotals := quota.NewTotals()
-		for _, other := range m.hosts {
+		for _, other := range m.limitedHosts() {
 			if other != h {
 				peerTotals.AddLive(other.lastReport, 1)
 			}
 		}
 		h.shares.Rebalance(m.state.Accounts, quota.NewPeers(peerTotals, 1, 1/float64(len(m.hosts))), m.now)
 		h.placer.Update(listings[h.region], demand, m.now)
+		m.applyParts(h)
 	}
 	for _, h := range m.hosts {
 		h.lastReport = h.shares.NextReport()
@@ -242,7 +272,7 @@
 			}
 			l := place.Listing{Info: u.info, ColdUntil: u.coldUntil}
 			if u.info.Region == own {
-				l.ColdPerSecond = coldPerSecond / (domainsPerRegion * hostsPerDomain)
+				l.ColdPerSecond = coldPerSecond / float64(m.pattern.hostsIn(r, 0)+m.pattern.hostsIn(r, 1))
 			}
 			out[own] = append(out[own], l)
 		}
@@ -324,8 +354,10 @@
 	if ctx.Err() != nil {
 		return steer.Exchange[struct{}]{Result: steer.NoAnswer, Err: ctx.Err()}
 	}
-	j := &job{class: classOf(r), object: r.Object, deadline: deadline, caller: m.current, heavy: r.Attempt == heavyAttempt}
-	if !u.enqueue(j) {
+	j := &job{class: m.classOf(r), object: r.Object, deadline: deadline, caller: m.current, heavy: r.Attempt == heavyAttempt}
+	accepted := u.enqueue(j)
+	m.countUpstreamArrival(accepted)
+	if !accepted {
 		j.outcome = outcomeShed
 	} else {
 		onCancel(ctx, func() { u.cancel(j) })
@@ -338,6 +370,10 @@
 	running, waiting := u.load()
 	m.Sleep(ctx, latency)
 	e := steer.Exchange[struct{}]{HasLoad: true, Running: running, Waiting: waiting, ReusedConnection: true}
+	if o := m.pattern.overload; o != nil {
+		e.Pace = place.Pace(o.statedPace(u, m.now))
+		m.handOutCredit(s.host, u, params.Upstream)
+	}
 	switch j.outcome {
 	case outcomeShed:
 		e.Result = steer.Shed
@@ -351,7 +387,8 @@
 
 // classOf returns the class of a request, whose path is the prefix of the class's
 // route.
-func classOf(r *steer.Request) *class {
+func (m *model) classOf(r *steer.Request) *class {
+	classes := m.pattern.classes()
 	for i := range classes {
 		if r.Path == "/"+string(classes[i].Route)+"/" {
 			return &classes[i]
--- a/internal/loadmodel/upstream.go
+++ b/internal/loadmodel/upstream.go
@@ -35,6 +35,12 @@
 	served    int
 	// busy is the time for which slots were used.
 	busy time.Duration
+	// noisy is set if the upstream is slower in alternating periods, which begin at phase.
+	noisy bool
+	phase time.Duration
+	// demand counts the requests of each host in the current and the last interval, by
+	// which the upstream divides its room.
+	demand, lastDemand map[*entryHost]int
 }
 
 // job is one request at an upstream.
@@ -186,7 +192,7 @@
 	if j.heavy || (u.heavyRuns > 0 && u.rng.Float64() < u.heavyRuns) {
 		serviceTime *= heavyFactor
 	}
-	return time.Duration(serviceTime * u.slowdown)
+	return u.elapsed(time.Duration(serviceTime * u.slowdown))
 }
 
 // markWarm records the use of an object, and evicts the least recently used one if
--- a/internal/transport/host/mesh.go
+++ b/internal/transport/host/mesh.go
@@ -55,7 +55,8 @@
 	ConnectionRefused(h id.Host)
 }
 
-// Codec encodes and decodes messages with their sender and addressee.
+// Codec encodes and decodes messages with their sender and addressee. Decode returns both,
+// and codec.ErrUnknown, also for a message of an unknown kind.
 type Codec[M any] interface {
 	Encode(from, to id.Host, m M) ([]byte, error)
 	Decode(data []byte) (from, to id.Host, m M, err error)
@@ -79,6 +80,8 @@
 	// sentBytes and receivedBytes count encoded messages.
 	sentBytes     metrics.Counter
 	receivedBytes metrics.Counter
+	// unknownMessages counts the messages of kinds that this build does not know.
+	unknownMessages metrics.Counter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -97,6 +100,8 @@
 	conn  *websocket.Conn
 	queue chan []byte
 	stop  context.CancelFunc
+	// framed is set if both ends know framedProtocol.
+	framed bool
 }
 
 // New returns a mesh without connections.
@@ -108,9 +113,10 @@
 		self: self, token: fleetToken(secret), codec: codec, events: events, log: log, clock: c, guard: g,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHandshakeBytes}},
 		ctx:    ctx, cancel: cancel,
-		sentBytes:     metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
-		receivedBytes: metrics.NewRegisteredCounter("hosts.bytes_received", registry),
-		addresses:     map[id.Host]string{}, links: map[id.Host]*link{}, dialing: map[id.Host]bool{},
+		sentBytes:       metrics.NewRegisteredCounter("hosts.bytes_sent", registry),
+		receivedBytes:   metrics.NewRegisteredCounter("hosts.bytes_received", registry),
+		unknownMessages: metrics.NewRegisteredCounter("hosts.messages_unknown", registry),
+		addresses:       map[id.Host]string{}, links: map[id.Host]*link{}, dialing: map[id.Host]bool{},
 	}
 }
 
@@ -195,9 +201,15 @@
 		m.log.With("error", err).Error("A message could not be encoded.")
 		return
 	}
+	// The frame is made once, and only if a link needs it.
+	frame := sync.OnceValue(func() []byte { return pack(data) })
 	for _, l := range links {
+		out := data
+		if l.framed {
+			out = frame()
+		}
 		select {
-		case l.queue <- data:
+		case l.queue <- out:
 		default:
 		}
 	}
@@ -245,7 +257,9 @@
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{tokenHeader: {m.token}, "Celerypin-From": {string(m.self)}, "Celerypin-To": {string(h)}}
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+host.Path, &websocket.DialOptions{HTTPClient: m.client, HTTPHeader: header})
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+host.Path, &websocket.DialOptions{
+		HTTPClient: m.client, HTTPHeader: header, Subprotocols: []string{framedProtocol},
+	})
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			m.events.ConnectionRefused(h)
@@ -270,7 +284,7 @@
 		return
 	}
 	defer m.running.Done()
-	conn, err := websocket.Accept(w, r, nil)
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{framedProtocol}})
 	if err != nil {
 		return
 	}
@@ -294,7 +308,7 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	defer cancel()
 	conn.SetReadLimit(host.MaxMessageBytes)
-	l := &link{conn: conn, queue: make(chan []byte, maxQueuedMessages), stop: cancel}
+	l := &link{conn: conn, queue: make(chan []byte, maxQueuedMessages), stop: cancel, framed: conn.Subprotocol() == framedProtocol}
 	m.replace(h, l)
 	defer m.remove(h, l)
 	var writer sync.WaitGroup
@@ -347,44 +361,3 @@
 	defer cancel()
 	return conn.Write(ctx, websocket.MessageBinary, data) == nil
 }
-
-func (m *Mesh[M]) receive(ctx context.Context, h id.Host, l *link) {
-	for {
-		data, err := readMessage(ctx, l.conn)
-		if err != nil {
-			return
-		}
-		m.receivedBytes.Inc(int64(len(data)))
-		accepted := true
-		// After a panic the next message is read: others may be sound.
-		m.guard.Run(taskMessage, func() { accepted = m.accept(h, data) })
-		if !accepted {
-			m.log.With("host", h).Warn("A malformed or misaddressed message closed the connection.")
-			return
-		}
-	}
-}
-
-// accept passes on a message from a host. It reports whether the message is well-formed
-// and addressed to this host.
-func (m *Mesh[M]) accept(h id.Host, data []byte) bool {
-	from, to, message, err := m.codec.Decode(data)
-	if err != nil || from != h || (to != m.self && to != anyHost) {
-		return false
-	}
-	m.events.Received(from, message)
-	return true
-}
-
-// Tasks to which panics are confined.
-const (
-	taskConnection confine.Task = "host connection"
-	taskMessage    confine.Task = "host message"
-)
-
-func readMessage(ctx context.Context, conn *websocket.Conn) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	_, data, err := conn.Read(ctx)
-	return data, err
-}
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"celerypin.example/celerypin/pkg/coordination/room"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -65,6 +66,9 @@
 	// ColdPerSecond is this host's share of the requests per second that the upstream
 	// tolerates while cold.
 	ColdPerSecond float64
+	// Part is this host's part of what the upstream can run and queue, if HasPart.
+	Part    room.Places
+	HasPart bool
 }
 
 // Update replaces the list of upstreams that may get requests; the caller leaves
@@ -93,6 +97,7 @@
 			u.MarkDraining()
 		}
 		u.SetCold(l.ColdUntil, l.ColdPerSecond)
+		u.setPart(l.Part, l.HasPart)
 		s := next[l.Info.Service]
 		if s == nil {
 			s = &pool{releases: map[id.Release]group{}, localShare: p.localShareOf(l.Info.Service)}
@@ -182,11 +187,10 @@
 	if s == nil || s.releases[q.Release] == nil {
 		return nil, NoUpstream
 	}
-	s.localShare.step(s.localGoal, now)
-	s.localShare.overflow.Earn()
+	q.dryRun.begin(s, now)
 	g := s.releases[q.Release]
 	object := objectHash(q)
-	t := p.timings.get(q.Service, q.Route)
+	t := q.dryRun.timing(p.timings, q)
 	order := p.regionOrder(s, g, q, object)
 	if len(order) == 0 {
 		return nil, NoUpstream
@@ -194,15 +198,15 @@
 	for i, region := range order {
 		c := p.chooseIn(g[region], q, object, t, now)
 		if region == p.region {
-			s.localShare.countPlacement(c == nil || c.wait > q.Route.Objective/4)
+			q.dryRun.countPlacement(s, c == nil || c.wait > q.Route.Objective/4)
 		}
 		if c == nil {
 			continue
 		}
-		if i > 0 && !p.mayOverflow(s, region, g) {
+		if i > 0 && !p.mayOverflow(s, region, g, q) {
 			continue
 		}
-		c.Upstream.inFlight.Add(1)
+		q.dryRun.takeSlot(c.Upstream)
 		return c, Chosen
 	}
 	return nil, Full
@@ -233,17 +237,25 @@
 }
 
 // chooseIn returns the upstream of the list with the lowest expected cost, or nil.
-// It compares the first Policy.Candidates in the order of ownership, and goes on
-// until one is expected to answer in time. If none is, it returns one with a free
-// slot, because the estimate may be wrong and the slot is idle. It returns a cold
-// upstream only within that upstream's rate.
+// It compares the first Policy.Candidates in the order of ownership. If none of them is
+// expected to answer in time, it returns one with a free slot, because the estimate may be
+// wrong and the slot is idle. If they can take no request, it goes on to upstreams that
+// have just reported idle slots: a request takes several times the slot time where its object is not
+// known, and displaces objects that are. Under overload, sending it to any upstream keeps
+// all objects unknown, and the overload does not end with the burst that caused it.
+// It returns a cold upstream only within that upstream's rate.
 func (p *Placer) chooseIn(list []*Upstream, q *Query, object uint64, t *timing, now clock.Instant) *Choice {
 	var best, idle *Choice
 	bestCost, idleCost := math.Inf(1), math.Inf(1)
 	penalty := 0.0
 	for i, u := range byOwnership(list, q, object, now) {
-		if i >= p.policy.Candidates && best != nil {
-			break
+		if i >= p.policy.Candidates {
+			if best != nil || idle != nil {
+				break
+			}
+			if !u.reportedIdle(p.policy.IdleLoad, now) {
+				continue
+			}
 		}
 		c, cost := p.estimate(u, q, object, t, penalty, now)
 		if i == 0 {
@@ -254,6 +266,7 @@
 		if c != nil {
 			c.rank = i
 		}
+		q.dryRun.compared(u, c)
 		switch {
 		case c == nil:
 		case c.Expected() <= q.Remaining && cost < bestCost:
@@ -265,7 +278,7 @@
 	if best == nil {
 		best = idle
 	}
-	if best == nil || !best.Upstream.Cold(now) || best.Upstream.coldBucket.Take(now) {
+	if best == nil || !best.Upstream.Cold(now) || q.dryRun.takeCold(best.Upstream, now) {
 		return best
 	}
 	return p.chooseIn(without(list, best.Upstream), q, object, t, now)
@@ -287,7 +300,7 @@
 	if !known {
 		depth = p.policy.UnknownDepth
 	}
-	if load >= slots*depth {
+	if load >= slots*depth || u.partUsed(depth/p.policy.QueueDepth) {
 		return nil, 0
 	}
 	warm, cold := float64(t.warm.Load()), float64(t.cold.Load())
@@ -296,6 +309,7 @@
 		work = warm
 	}
 	slowdown := u.slowdown(now)
+	pace, paceWeight := u.pace.at(now)
 	if u.Cold(now) {
 		slowdown = max(slowdown, coldUpstreamFactor)
 	}
@@ -305,6 +319,7 @@
 	c := &Choice{
 		Upstream: u, object: object, timing: t, known: known,
 		wait: time.Duration(wait), roundTrip: roundTrip, work: time.Duration(work), slowdown: slowdown, load: load,
+		pace: pace, paceWeight: paceWeight,
 	}
 	cost := wait + work + float64(roundTrip)
 	if !known {
--- a/pkg/coordination/place/placer_test.go
+++ b/pkg/coordination/place/placer_test.go
@@ -209,3 +209,48 @@
 		t.Errorf("known object: got status %v, want %v", got, Chosen)
 	}
 }
+
+// TestSharedUpstreamIsFullForSeldomReports guards against queues that fill because a host
+// counts the requests of a dozen others as gone before it hears from the upstream again.
+func TestSharedUpstreamIsFullForSeldomReports(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(1, "a1"))
+	u := p.Upstreams()[0]
+	u.RecordReport(4, 8, now)
+	if _, got := p.Choose(newQuery("x"), now.Add(1300*time.Millisecond)); got != Full {
+		t.Errorf("got status %v 1.3 s after a report of 4 running and 8 waiting at 4 slots, want %v", got, Full)
+	}
+	if _, got := p.Choose(newQuery("x"), now.Add(maxReportAge)); got != Chosen {
+		t.Errorf("got status %v once the report is too old, want %v", got, Chosen)
+	}
+}
+
+// TestOverloadKeepsObjectsAtTheirOwners guards against an overload that does not end with the
+// burst that caused it: if the first owners of an object are full, another upstream gets the
+// request only while half of its slots are idle.
+func TestOverloadKeepsObjectsAtTheirOwners(t *testing.T) {
+	now := clock.NewFake().Now()
+	p := newPlacer(now, upstreams(6, "a1"))
+	q := newQuery("x")
+	ranked := byOwnership(p.Upstreams(), q, objectHash(q), now)
+	for i, u := range ranked {
+		switch {
+		case i < p.policy.Candidates:
+			u.RecordReport(u.Info.Slots, 3*u.Info.Slots, now)
+		case i == 2:
+			// Without a recent report, its load is not known.
+			u.RecordReport(0, 0, now.Add(-time.Second))
+		default:
+			u.RecordReport(3, 0, now)
+		}
+	}
+	if c, got := p.Choose(q, now); got != Full {
+		t.Errorf("got status %v, upstream %v while no upstream says that half of its slots are idle, want %v", got, c.Upstream.Info.ID, Full)
+	}
+	idle := ranked[4]
+	idle.RecordReport(2, 0, now)
+	c, got := p.Choose(q, now)
+	if got != Chosen || c.Upstream.localState != idle.localState {
+		t.Errorf("got status %v, want the upstream with half of its slots idle", got)
+	}
+}
--- a/pkg/coordination/place/second.go
+++ b/pkg/coordination/place/second.go
@@ -89,8 +89,8 @@
 // gave the answer. It says nothing about failures, and makes the upstream slower only if the
 // answer was already late.
 func (c *Choice) RecordAtLeast(elapsed time.Duration, now clock.Instant) {
-	expected := c.roundTrip + time.Duration(float64(c.wait+c.work)/c.slowdown)
-	if elapsed > time.Duration(float64(expected)*c.Upstream.slowdown(now)) {
+	expected := c.expectedElsewhere(c.paceOfRun(now))
+	if elapsed > time.Duration(float64(expected)*c.Upstream.observedSlowness(now)) {
 		c.Upstream.recordLatency(elapsed, expected, now)
 	}
 }
--- a/pkg/coordination/place/second_test.go
+++ b/pkg/coordination/place/second_test.go
@@ -59,3 +59,29 @@
 		})
 	}
 }
+
+// TestCancelledRunAtStatedPaceIsNotSlow guards against a stated pace that also counts as
+// observed slowness, once an exchange that is as slow as stated is cancelled.
+func TestCancelledRunAtStatedPaceIsNotSlow(t *testing.T) {
+	const statedPace = Pace(2.5)
+	p := newPlacer(testNow, upstreams(1, "a1"))
+	u := p.Upstreams()[0]
+	u.RecordPace(statedPace, testNow)
+	choice, status := p.Choose(newQuery("x"), testNow)
+	if status != Chosen {
+		t.Fatalf("got %v, want an upstream", status)
+	}
+	defer choice.Done()
+	elapsed := choice.Expected() * 21 / 20
+	end := testNow.Add(elapsed)
+	u.RecordPace(statedPace, end)
+	choice.RecordAtLeast(elapsed, end)
+	if got := u.observedSlowness(end); got < 1 || got > 1.05 {
+		t.Errorf("got an observed slowness of %.3f, want about 1", got)
+	}
+	// One that is slower than stated still counts.
+	choice.RecordAtLeast(4*elapsed, end)
+	if got := u.observedSlowness(end); got < 1.1 {
+		t.Errorf("got an observed slowness of %.3f, want more than 1.1", got)
+	}
+}
--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -47,15 +47,19 @@
 	otherLoad atomic.Int64
 	// reportedAt is the instant of the last report.
 	reportedAt atomic.Int64
-	// slowness is the ratio of actual to expected latency, in thousandths.
+	// slowness is the ratio of actual to expected latency, in thousandths. The expected
+	// latency includes the pace that the upstream states.
 	slowness atomic.Int64
 	// slownessAt is the instant at which slowness was last updated.
 	slownessAt atomic.Int64
+	// pace is how long work takes at the upstream as it last stated.
+	pace paceReport
 	// avoidUntil is the instant until which the upstream gets no requests.
 	avoidUntil atomic.Int64
 	// failures counts failures since the last answer.
 	failures atomic.Int64
 	draining atomic.Bool
+	part     partLimit
 	// coldUntil is the instant until which the upstream is cold.
 	coldUntil atomic.Int64
 	// coldBucket bounds the rate of requests while the upstream is cold.
@@ -83,8 +87,12 @@
 	// half, so that a slow upstream is tried again.
 	slownessHalvingAge = 5 * time.Second
 	// maxReportAge is the age at which a load report no longer counts; its weight
-	// decreases linearly until then.
-	maxReportAge = 1500 * time.Millisecond
+	// decreases linearly until then. Where a dozen hosts share an upstream, each gets about
+	// one report a second from it; requests of the others must not count as gone sooner.
+	maxReportAge = 5 * time.Second
+	// freshReportAge is the age up to which a report tells what is idle now: about the time
+	// in which an upstream completes a request.
+	freshReportAge = 250 * time.Millisecond
 )
 
 // RecordReport records the load that the upstream reports: requests running and waiting,
@@ -105,6 +113,12 @@
 	return load
 }
 
+// reportedIdle reports whether the upstream has said within freshReportAge that at most the
+// given part of its slots is in use.
+func (u *Upstream) reportedIdle(part float64, now clock.Instant) bool {
+	return now.Sub(clock.Instant(u.reportedAt.Load())) < freshReportAge && u.Load(now) <= part*float64(u.Info.Slots)
+}
+
 // InFlight returns the number of requests that this host has at the upstream.
 func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
 
@@ -165,14 +179,14 @@
 		return
 	}
 	observed := min(max(int64(latency)*normalSlowness/int64(expected), minSlowness), maxSlowness)
-	old := int64(u.slowdown(now) * normalSlowness)
+	old := int64(u.observedSlowness(now) * normalSlowness)
 	u.slowness.Store(old + (observed-old)/slownessSmoothing)
 	u.slownessAt.Store(int64(now))
 }
 
-// slowdown returns the ratio of actual to expected latency. An excess over 1
+// observedSlowness returns the ratio of actual to expected latency. An excess over 1
 // decreases with its age: it counts half at slownessHalvingAge, a third at twice it.
-func (u *Upstream) slowdown(now clock.Instant) float64 {
+func (u *Upstream) observedSlowness(now clock.Instant) float64 {
 	s := float64(u.slowness.Load()) / normalSlowness
 	if s <= 1 {
 		return s
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -32,6 +32,8 @@
 	// newConnection reports whether the next attempt must not use a pooled
 	// connection, because one failed in the last attempt.
 	newConnection bool
+	// dryRun is set if the request is not sent and must change nothing.
+	dryRun bool
 }
 
 // Delays after which clients of refused requests are asked to retry.
@@ -188,7 +190,7 @@
 	case !isSplit:
 		d.release = approved
 	case d.release == "":
-		d.release = split.Next()
+		d.release = d.nextRelease(split)
 	case split.Share < wholeShare:
 		d.release = split.Old
 	default:
@@ -239,6 +241,7 @@
 		// The report leaves out this request, which still counts as in flight here.
 		u.RecordReport(e.Running+1, e.Waiting, now)
 	}
+	u.RecordPace(e.Pace, now)
 	if e.QuietFor > 0 {
 		u.RecordQuiet(now.Add(e.QuietFor))
 	}
