Remove the division of what upstreams accept among hosts

The load model compared parts by the reported demand (room_parts, room_parts_owner) and credits from upstreams (upstream_credits). The overload patterns, the upper bound, the second table and the policy sampled_reports stay.

The tests of package room and TestDivisionKeepsArrivalsBelowRoom go with the code that they test. TestSampledReportsLowerRefusals covers the remaining policy, which had no test; it fails if the answers are not recorded. No golden file changes.

--- a/internal/loadmodel/experiment.go
+++ b/internal/loadmodel/experiment.go
@@ -20,8 +20,9 @@
 	Name        string       `json:"name"`
 	Description string       `json:"tells"`
 	Policy      place.Policy `json:"policy"`
-	// Division is how hosts share what upstreams accept.
-	Division Division `json:"division,omitempty"`
+	// SampledReports makes hosts ask upstreams for their load before a request, if the
+	// last report is old.
+	SampledReports bool `json:"sampled_reports,omitempty"`
 }
 
 // Policies returns all policies. The first is the one that hosts use.
@@ -31,7 +32,7 @@
 		modify(&p)
 		return NamedPolicy{Name: name, Description: description, Policy: p}
 	}
-	return append([]NamedPolicy{
+	return []NamedPolicy{
 		variant("default", "as hosts decide", func(*place.Policy) {}),
 		variant("owner_only", "the owner of an object alone", func(p *place.Policy) { p.Candidates = 1 }),
 		variant("four_candidates", "four upstreams for each object", func(p *place.Policy) { p.Candidates = 4 }),
@@ -39,7 +40,8 @@
 		variant("shallow_unknown", "unknown objects never wait", func(p *place.Policy) { p.UnknownDepth = 1 }),
 		variant("free_cold", "a cold start elsewhere weighs nothing", func(p *place.Policy) { p.ColdPenalty = 0 }),
 		variant("dear_cold", "a cold start elsewhere weighs two cold runs", func(p *place.Policy) { p.ColdPenalty = 2 }),
-	}, divisionPolicies()...)
+		{"sampled_reports", "hosts ask two upstreams for their load, if the last report is old", place.DefaultPolicy(), true},
+	}
 }
 
 // PolicyByName returns the policy with the given name, or an error that matches
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -11,7 +11,6 @@
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
-	"celerypin.example/celerypin/pkg/coordination/room"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
@@ -44,9 +43,10 @@
 // model is one simulated run of a pattern under a policy.
 type model struct {
 	*simulation
-	pattern  Pattern
-	division Division
-	rng      *rand.Rand
+	pattern Pattern
+	// sampled is set if hosts ask upstreams for their load.
+	sampled bool
+	rng     *rand.Rand
 	// arrivals and faults draw the requests and the faults of the pattern; they are rng unless
 	// the pattern has draws of its own.
 	arrivals, faults *rand.Rand
@@ -61,8 +61,6 @@
 	records []arrival
 	// capacity is the part of each step of boundStep that upstreams could work, in slots.
 	capacity []float64
-	// heard are the rates that hosts reported last.
-	heard []heardReport
 }
 
 // entryHost is one simulated entry host: the product's own decision code with its
@@ -75,16 +73,12 @@
 	shares *quota.Shares
 	// lastReport is the report that the other hosts use.
 	lastReport quota.Report
-	// divisions compute the host's parts of the upstreams of each region, credits are
-	// those that upstreams have handed out.
-	divisions map[id.Region]*room.Division
-	credits   map[id.Upstream]room.Places
 }
 
 // run simulates a pattern under a policy and a bound of hedged requests. Equal seeds give equal results.
 func run(p Pattern, policy NamedPolicy, hedged hedge.Fraction, seed uint64) Result {
 	m := &model{
-		simulation: newSimulation(), pattern: p, division: policy.Division, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
+		simulation: newSimulation(), pattern: p, sampled: policy.SampledReports, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
 	}
 	m.arrivals, m.faults = m.rng, m.rng
 	if p.ownDraws {
@@ -178,7 +172,7 @@
 	name := id.Upstream(fmt.Sprintf("upstream-%d", len(m.upstreams)))
 	u := &upstream{
 		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1,
-		heavyRuns: m.pattern.heavyRuns, demand: map[*entryHost]int{},
+		heavyRuns: m.pattern.heavyRuns,
 		info: fleet.Upstream{
 			ID: name, Service: g.Service, Release: currentRelease, Region: regionID(r), FailureDomain: domainID(r, d),
 			Address: string(name), Slots: g.Slots, State: fleet.UpstreamLive, Incarnation: 1,
@@ -213,10 +207,6 @@
 
 func (m *model) addHost(r, d int, policy place.Policy, hedged hedge.Fraction) {
 	h := &entryHost{region: regionID(r), domain: domainID(r, d), placer: place.New(regionID(r), domainID(r, d), maxShift, policy)}
-	h.divisions, h.credits = map[id.Region]*room.Division{}, map[id.Upstream]room.Places{}
-	for region := range regions {
-		h.divisions[regionID(region)] = room.New(id.Host(fmt.Sprint(len(m.hosts))))
-	}
 	h.shares = quota.New(quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, m.now)
 	splits := release.NewSplits()
 	h.Steerer = steer.New(steer.Dependencies[struct{}]{
@@ -242,7 +232,6 @@
 		demand[r] /= sum
 	}
 	listings := m.listingsByRegion()
-	m.exchangeRates(demand)
 	for _, h := range m.hosts {
 		peerTotals := quota.NewTotals()
 		for _, other := range m.limitedHosts() {
@@ -252,7 +241,6 @@
 		}
 		h.shares.Rebalance(m.state.Accounts, quota.NewPeers(peerTotals, 1, 1/float64(len(m.hosts))), m.now)
 		h.placer.Update(listings[h.region], demand, m.now)
-		m.applyParts(h)
 	}
 	for _, h := range m.hosts {
 		h.lastReport = h.shares.NextReport()
@@ -372,7 +360,6 @@
 	e := steer.Exchange[struct{}]{HasLoad: true, Running: running, Waiting: waiting, ReusedConnection: true}
 	if o := m.pattern.overload; o != nil {
 		e.Pace = place.Pace(o.statedPace(u, m.now))
-		m.handOutCredit(s.host, u, params.Upstream)
 	}
 	switch j.outcome {
 	case outcomeShed:
--- a/internal/loadmodel/overload_run.go
+++ b/internal/loadmodel/overload_run.go
@@ -26,7 +26,6 @@
 		m.after(m.pattern.WarmUp+drainedAfter, m.drainDomain)
 	}
 	m.every(boundStep, m.sampleCapacity)
-	m.every(creditInterval, m.rotateDemand)
 }
 
 // knownTime returns the mean service time of a known object.
@@ -66,7 +65,7 @@
 		}
 	}
 	host := m.hosts[first+m.arrivals.IntN(m.pattern.hostsIn(r, d))]
-	if m.division == DivisionSampled {
+	if m.sampled {
 		m.sampleReports(host, c, object)
 	}
 	m.sendTo(c, host, start, account, object)
--- a/internal/loadmodel/overload_test.go
+++ b/internal/loadmodel/overload_test.go
@@ -55,12 +55,16 @@
 	}
 }
 
-// TestDivisionKeepsArrivalsBelowRoom guards against hosts that together send upstreams more
-// than they accept in a burst: fewer than 1 in 100 arrivals may be turned away.
-func TestDivisionKeepsArrivalsBelowRoom(t *testing.T) {
-	r := runExperiment(t, "metastable", 1, "room_parts").Policies[0].Runs[0]
-	if r.TurnedAway*100 > r.UpstreamArrivals {
-		t.Errorf("got %d of %d arrivals turned away, want fewer than 1 in 100", r.TurnedAway, r.UpstreamArrivals)
+// TestSampledReportsLowerRefusals guards against questions for the load that do not reach
+// the placement: with young reports, upstreams turn away fewer requests of a burst.
+func TestSampledReportsLowerRefusals(t *testing.T) {
+	o := runExperiment(t, "metastable", 1, "default", "sampled_reports")
+	without, with := o.Policies[0].Runs[0], o.Policies[1].Runs[0]
+	if without.ReportBytes != 0 || with.ReportBytes == 0 {
+		t.Errorf("got %d bytes of questions without and %d with them, want none and some", without.ReportBytes, with.ReportBytes)
+	}
+	if with.TurnedAway >= without.TurnedAway {
+		t.Errorf("got %d arrivals turned away with young reports and %d without, want fewer", with.TurnedAway, without.TurnedAway)
 	}
 }
 
--- a/internal/loadmodel/result.go
+++ b/internal/loadmodel/result.go
@@ -39,7 +39,7 @@
 	// that the upstreams did not accept.
 	UpstreamArrivals int `json:"upstream_arrivals,omitempty"`
 	TurnedAway       int `json:"turned_away,omitempty"`
-	// ReportBytes is the size of the messages that the division of room has added.
+	// ReportBytes is the size of the messages that the policy has added.
 	ReportBytes int `json:"report_bytes,omitempty"`
 
 	all       worth
--- a/internal/loadmodel/upstream.go
+++ b/internal/loadmodel/upstream.go
@@ -38,9 +38,6 @@
 	// noisy is set if the upstream is slower in alternating periods, which begin at phase.
 	noisy bool
 	phase time.Duration
-	// demand counts the requests of each host in the current and the last interval, by
-	// which the upstream divides its room.
-	demand, lastDemand map[*entryHost]int
 }
 
 // job is one request at an upstream.
--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"celerypin.example/celerypin/pkg/coordination/room"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -66,9 +65,6 @@
 	// ColdPerSecond is this host's share of the requests per second that the upstream
 	// tolerates while cold.
 	ColdPerSecond float64
-	// Part is this host's part of what the upstream can run and queue, if HasPart.
-	Part    room.Places
-	HasPart bool
 }
 
 // Update replaces the list of upstreams that may get requests; the caller leaves
@@ -97,7 +93,6 @@
 			u.MarkDraining()
 		}
 		u.SetCold(l.ColdUntil, l.ColdPerSecond)
-		u.setPart(l.Part, l.HasPart)
 		s := next[l.Info.Service]
 		if s == nil {
 			s = &pool{releases: map[id.Release]group{}, localShare: p.localShareOf(l.Info.Service)}
@@ -300,7 +295,7 @@
 	if !known {
 		depth = p.policy.UnknownDepth
 	}
-	if load >= slots*depth || u.partUsed(depth/p.policy.QueueDepth) {
+	if load >= slots*depth {
 		return nil, 0
 	}
 	warm, cold := float64(t.warm.Load()), float64(t.cold.Load())
--- a/pkg/coordination/place/upstream.go
+++ b/pkg/coordination/place/upstream.go
@@ -59,7 +59,6 @@
 	// failures counts failures since the last answer.
 	failures atomic.Int64
 	draining atomic.Bool
-	part     partLimit
 	// coldUntil is the instant until which the upstream is cold.
 	coldUntil atomic.Int64
 	// coldBucket bounds the rate of requests while the upstream is cold.
