--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -147,9 +147,11 @@
 	tomb      tomb.Tomb
 }
 
-// New assembles a host. Nothing runs before Start.
-func New(s platform.Settings, c clock.Clock, log *logging.Log) *Host {
+// New assembles a host with what its settings file and the options state. Nothing runs before
+// Start.
+func New(s platform.Settings, c clock.Clock, log *logging.Log, options ...Option) *Host {
 	now := c.Now()
+	o := newOptions(options)
 	h := &Host{clock: c, log: log.Part("host"), registry: metrics.NewRegistry()}
 	h.settings.Store(&s)
 	h.metrics = newHostMetrics(h.registry)
@@ -184,6 +186,7 @@
 		Meter:        h.usage.requestMeter(),
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
+		Hedging:      h.hedging(o.hedgeFraction),
 	})
 	if s.Duties.Includes(platform.DutyUsageReport) {
 		h.duty = newDutyRunner(h, platform.DutyUsageReport, self.Incarnation, log.Part("duty"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 	delivered, refused, overQuota, failed, denied, clientLeft metrics.Counter
 	attempts, directory                                       metrics.Counter
 	windowsReported, windowsLeftOut, windowsLate              metrics.Counter
+	hedgesSent, hedgesWon, hedgesWasted, hedgesSuppressed     metrics.Counter
 	dialed, panics, dutyHeld, dutyToken                       metrics.Gauge
 	latency                                                   metrics.Histogram
 }
@@ -35,6 +36,7 @@
 		delivered: counter("requests.delivered"), refused: counter("requests.refused"), overQuota: counter("requests.over_quota"),
 		failed: counter("requests.failed"), denied: counter("requests.denied"), clientLeft: counter("requests.client_left"),
 		attempts: counter("upstreams.attempts"), directory: counter("directory.answers"),
+		hedgesSent: counter("hedges.sent"), hedgesWon: counter("hedges.won"), hedgesWasted: counter("hedges.wasted_ms"), hedgesSuppressed: counter("hedges.suppressed"),
 		windowsReported: counter("usage.windows_reported"), windowsLeftOut: counter("usage.windows_left_out"), windowsLate: counter("usage.windows_late"),
 		dialed:   metrics.NewRegisteredGauge("upstreams.connections_made", r),
 		panics:   metrics.NewRegisteredGauge("host.panics", r),
--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -25,11 +26,11 @@
 // scheduleArrivals schedules the next request of a class, and then each following
 // one, as a Poisson process.
 func (m *model) scheduleArrivals(c *class) {
-	rate := c.PerSecond
+	rate := c.PerSecond * m.pattern.baseFactor
 	if m.now >= m.measuredFrom {
 		rate *= m.pattern.loadFactor * (1 + accountFraction(0)*(m.pattern.hotFactor-1))
 	}
-	m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+	m.after(time.Duration(m.arrivals.ExpFloat64()/rate*float64(time.Second)), func() {
 		m.spawn(func() { m.sendRequest(c) })
 		m.scheduleArrivals(c)
 	})
@@ -39,24 +40,29 @@
 func (m *model) sendRequest(c *class) {
 	start := m.now
 	account := m.drawAccount()
-	object := id.Object(fmt.Sprintf("%s-%d", c.Route, m.rng.IntN(c.Objects)))
+	object := id.Object(fmt.Sprintf("%s-%d", c.Route, m.arrivals.IntN(c.Objects)))
 	host := m.drawHost()
 	m.sendTo(c, host, start, account, object)
 }
 
 // sendTo simulates a caller's request to a host with its retries.
 func (m *model) sendTo(c *class, host *entryHost, start clock.Instant, account id.Account, object id.Object) {
-	impatient := m.rng.Float64() < m.pattern.impatientFraction
+	impatient := m.arrivals.Float64() < m.pattern.impatientFraction
 	retries := m.pattern.callerRetries(impatient)
+	attemptID := id.Attempt("model")
+	if m.pattern.heavyRequests > 0 && m.arrivals.Float64() < m.pattern.heavyRequests {
+		attemptID = heavyAttempt
+	}
 	for attempt := 0; ; attempt++ {
 		remaining := c.Deadline - m.now.Sub(start)
 		m.Sleep(context.Background(), callerLatency)
 		decision := host.Serve(context.Background(), &steer.Request{
-			Attempt: "model", VirtualHost: virtualHost, Path: "/" + string(c.Route) + "/", Object: object,
+			Attempt: attemptID, VirtualHost: virtualHost, Path: "/" + string(c.Route) + "/", Object: object,
 			Key: string(account), HasKey: true, Remaining: remaining, Arrived: m.now, Replayable: true,
 		})
 		m.Sleep(context.Background(), callerLatency)
 		latency := m.now.Sub(start)
+		m.recordHedge(&decision.Hedge)
 		notRun := decision.Outcome == steer.Refused || decision.Outcome == steer.OverQuota
 		delay := decision.RetryAfter
 		if impatient {
@@ -80,7 +86,7 @@
 		hotFactor = m.pattern.hotFactor
 	}
 	total := 1 + accountFraction(0)*(hotFactor-1)
-	point := m.rng.Float64() * total
+	point := m.arrivals.Float64() * total
 	for n := range accounts {
 		fraction := accountFraction(n)
 		if n == 0 {
@@ -96,13 +102,29 @@
 // drawHost draws the host that a caller uses. Callers are spread evenly over the
 // hosts, except for those that moved from the first failure domain to the last.
 func (m *model) drawHost() *entryHost {
-	n := m.rng.IntN(len(m.hosts))
-	if n < hostsPerDomain && m.now >= m.measuredFrom && m.rng.Float64() < m.pattern.movedFraction {
+	n := m.arrivals.IntN(len(m.hosts))
+	if n < hostsPerDomain && m.now >= m.measuredFrom && m.arrivals.Float64() < m.pattern.movedFraction {
 		n += len(m.hosts) - hostsPerDomain
 	}
 	return m.hosts[n]
 }
 
+// recordHedge counts what became of a request's second copy.
+func (m *model) recordHedge(r *steer.HedgeRecord) {
+	if m.now < m.measuredFrom {
+		return
+	}
+	switch {
+	case r.Sent && r.Won:
+		m.result.copiesWon++
+		m.result.copies++
+	case r.Sent:
+		m.result.copies++
+	case r.Suppressed != hedge.ReasonNone:
+		m.result.suppressed[r.Suppressed]++
+	}
+}
+
 // record counts a request in the result, unless the run is still in its warm-up.
 func (m *model) record(c *class, account id.Account, region id.Region, outcome steer.Outcome, reason steer.Reason, latency time.Duration) {
 	if m.now < m.measuredFrom {
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -7,10 +7,10 @@
 	"math/rand/v2"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/quota"
 	"celerypin.example/celerypin/pkg/coordination/release"
-	"celerypin.example/celerypin/pkg/coordination/room"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
@@ -43,13 +43,17 @@
 // model is one simulated run of a pattern under a policy.
 type model struct {
 	*simulation
-	pattern   Pattern
-	division  Division
-	rng       *rand.Rand
-	state     *desired.State
-	upstreams []*upstream
-	byID      map[id.Upstream]*upstream
-	hosts     []*entryHost
+	pattern Pattern
+	// sampled is set if hosts ask upstreams for their load.
+	sampled bool
+	rng     *rand.Rand
+	// arrivals and faults draw the requests and the faults of the pattern; they are rng unless
+	// the pattern has draws of its own.
+	arrivals, faults *rand.Rand
+	state            *desired.State
+	upstreams        []*upstream
+	byID             map[id.Upstream]*upstream
+	hosts            []*entryHost
 	// measuredFrom is the end of the warm-up, from which requests count.
 	measuredFrom clock.Instant
 	result       Result
@@ -57,8 +61,6 @@
 	records []arrival
 	// capacity is the part of each step of boundStep that upstreams could work, in slots.
 	capacity []float64
-	// heard are the rates that hosts reported last.
-	heard []heardReport
 }
 
 // entryHost is one simulated entry host: the product's own decision code with its
@@ -71,22 +73,22 @@
 	shares *quota.Shares
 	// lastReport is the report that the other hosts use.
 	lastReport quota.Report
-	// divisions compute the host's parts of the upstreams of each region, credits are
-	// those that upstreams have handed out.
-	divisions map[id.Region]*room.Division
-	credits   map[id.Upstream]room.Places
 }
 
-// run simulates a pattern under a policy. Equal seeds give equal results.
-func run(p Pattern, policy place.Policy, division Division, seed uint64) Result {
+// run simulates a pattern under a policy and a bound of hedged requests. Equal seeds give equal results.
+func run(p Pattern, policy NamedPolicy, hedged hedge.Fraction, seed uint64) Result {
 	m := &model{
-		simulation: newSimulation(), pattern: p, division: division, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
+		simulation: newSimulation(), pattern: p, sampled: policy.SampledReports, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[id.Upstream]*upstream{},
+	}
+	m.arrivals, m.faults = m.rng, m.rng
+	if p.ownDraws {
+		m.arrivals, m.faults = rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	}
 	m.measuredFrom = m.now.Add(p.WarmUp)
 	m.result = newResult(p.Duration)
 	m.state = desiredState(&p)
 	m.addUpstreams()
-	m.addHosts(policy)
+	m.addHosts(policy.Policy, hedged)
 	m.every(exchangeInterval, m.exchangeReports)
 	m.after(p.WarmUp, m.applyPattern)
 	if p.overload != nil {
@@ -97,6 +99,9 @@
 		}
 	}
 	m.simulation.run(m.measuredFrom.Add(p.Duration))
+	for _, u := range m.upstreams {
+		m.result.busy += u.busy
+	}
 	if p.overload != nil {
 		m.result.UpperBound = m.upperBound()
 	}
@@ -166,7 +171,8 @@
 func (m *model) addUpstream(g group, r, d int) *upstream {
 	name := id.Upstream(fmt.Sprintf("upstream-%d", len(m.upstreams)))
 	u := &upstream{
-		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1, demand: map[*entryHost]int{},
+		sim: m.simulation, rng: m.rng, maxQueue: queuePerSlot * g.Slots, warm: map[id.Object]clock.Instant{}, maxWarm: maxWarmObjects, slowdown: 1,
+		heavyRuns: m.pattern.heavyRuns,
 		info: fleet.Upstream{
 			ID: name, Service: g.Service, Release: currentRelease, Region: regionID(r), FailureDomain: domainID(r, d),
 			Address: string(name), Slots: g.Slots, State: fleet.UpstreamLive, Incarnation: 1,
@@ -177,11 +183,11 @@
 	return u
 }
 
-func (m *model) addHosts(policy place.Policy) {
+func (m *model) addHosts(policy place.Policy, hedged hedge.Fraction) {
 	for r := range regions {
 		for d := range domainsPerRegion {
 			for range m.pattern.hostsIn(r, d) {
-				m.addHost(r, d, policy)
+				m.addHost(r, d, policy, hedged)
 			}
 		}
 	}
@@ -199,18 +205,15 @@
 	maxShift = 0.15
 )
 
-func (m *model) addHost(r, d int, policy place.Policy) {
+func (m *model) addHost(r, d int, policy place.Policy, hedged hedge.Fraction) {
 	h := &entryHost{region: regionID(r), domain: domainID(r, d), placer: place.New(regionID(r), domainID(r, d), maxShift, policy)}
-	h.divisions, h.credits = map[id.Region]*room.Division{}, map[id.Upstream]room.Places{}
-	for region := range regions {
-		h.divisions[regionID(region)] = room.New(id.Host(fmt.Sprint(len(m.hosts))))
-	}
 	h.shares = quota.New(quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, m.now)
 	splits := release.NewSplits()
 	h.Steerer = steer.New(steer.Dependencies[struct{}]{
 		State: rcu.New(m.state), Shares: h.shares, Draw: steer.NoPool, Current: steer.AlwaysCurrent, Placer: h.placer, Splits: splits, Recorder: release.NewRecorder(splits),
 		Approved: func(id.Service) id.Release { return currentRelease },
 		Sender:   &sender{m, h}, Clock: m.simulation, Random: m.rng, RetryRatio: retryRatio, RetryReserve: retryReserve,
+		Hedging: steer.Hedging[struct{}]{Hedger: hedge.New(hedged), Runner: m.simulation, Discard: func(struct{}) {}},
 	})
 	m.hosts = append(m.hosts, h)
 }
@@ -229,7 +232,6 @@
 		demand[r] /= sum
 	}
 	listings := m.listingsByRegion()
-	m.exchangeRates(demand)
 	for _, h := range m.hosts {
 		peerTotals := quota.NewTotals()
 		for _, other := range m.limitedHosts() {
@@ -239,7 +241,6 @@
 		}
 		h.shares.Rebalance(m.state.Accounts, quota.NewPeers(peerTotals, 1, 1/float64(len(m.hosts))), m.now)
 		h.placer.Update(listings[h.region], demand, m.now)
-		m.applyParts(h)
 	}
 	for _, h := range m.hosts {
 		h.lastReport = h.shares.NextReport()
@@ -271,10 +272,10 @@
 // the end of the warm-up.
 func (m *model) applyPattern() {
 	for _, u := range m.upstreams {
-		if m.rng.Float64() < m.pattern.slowFraction {
+		if m.faults.Float64() < m.pattern.slowFraction {
 			u.slowdown = slowFactor
 		}
-		if m.rng.Float64() < m.pattern.greyFraction {
+		if m.faults.Float64() < m.pattern.greyFraction {
 			u.failureRate = greyFailureRate
 		}
 	}
@@ -285,6 +286,19 @@
 	if m.pattern.domainLost {
 		m.loseDomain()
 	}
+	if m.pattern.phaseFraction > 0 {
+		m.every(slowPhase, m.nextPhase)
+	}
+}
+
+// nextPhase draws the upstreams that are slow until the next phase.
+func (m *model) nextPhase() {
+	for _, u := range m.upstreams {
+		u.slowdown = 1
+		if m.faults.Float64() < m.pattern.phaseFraction {
+			u.slowdown = phaseSlowFactor
+		}
+	}
 }
 
 // domainDowntime is how long the upstreams of a lost failure domain are down.
@@ -325,20 +339,27 @@
 	}
 	deadline := m.now.Add(params.Remaining)
 	m.Sleep(ctx, latency)
-	j := &job{class: m.classOf(r), object: r.Object, deadline: deadline, caller: m.current}
+	if ctx.Err() != nil {
+		return steer.Exchange[struct{}]{Result: steer.NoAnswer, Err: ctx.Err()}
+	}
+	j := &job{class: m.classOf(r), object: r.Object, deadline: deadline, caller: m.current, heavy: r.Attempt == heavyAttempt}
 	accepted := u.enqueue(j)
 	m.countUpstreamArrival(accepted)
 	if !accepted {
 		j.outcome = outcomeShed
 	} else {
+		onCancel(ctx, func() { u.cancel(j) })
 		m.yield()
+		onCancel(ctx, nil)
+	}
+	if j.outcome == outcomeCancelled {
+		return steer.Exchange[struct{}]{Result: steer.NoAnswer, Err: ctx.Err()}
 	}
 	running, waiting := u.load()
 	m.Sleep(ctx, latency)
 	e := steer.Exchange[struct{}]{HasLoad: true, Running: running, Waiting: waiting, ReusedConnection: true}
 	if o := m.pattern.overload; o != nil {
 		e.Pace = place.Pace(o.statedPace(u, m.now))
-		m.handOutCredit(s.host, u, params.Upstream)
 	}
 	switch j.outcome {
 	case outcomeShed:
--- a/internal/loadmodel/overload.go
+++ b/internal/loadmodel/overload.go
@@ -92,7 +92,7 @@
 	for i := range list {
 		p, o := &list[i], list[i].overload
 		p.WarmUp, p.Duration = overloadWarmUp, overloadDuration
-		p.loadFactor, p.hotFactor, p.thinFraction = valueOrOne(p.loadFactor), valueOrOne(p.hotFactor), valueOrOne(p.thinFraction)
+		p.loadFactor, p.hotFactor, p.thinFraction, p.baseFactor = valueOrOne(p.loadFactor), valueOrOne(p.hotFactor), valueOrOne(p.thinFraction), valueOrOne(p.baseFactor)
 		o.burstFactor = valueOrOne(o.burstFactor)
 		if o.perDomain == 0 {
 			o.perDomain = overloadPerDomain
--- a/internal/loadmodel/overload_run.go
+++ b/internal/loadmodel/overload_run.go
@@ -26,7 +26,6 @@
 		m.after(m.pattern.WarmUp+drainedAfter, m.drainDomain)
 	}
 	m.every(boundStep, m.sampleCapacity)
-	m.every(creditInterval, m.rotateDemand)
 }
 
 // knownTime returns the mean service time of a known object.
@@ -39,13 +38,13 @@
 func (m *model) scheduleDomain(c *class, r, d int, rate float64) {
 	o := m.pattern.overload
 	hot := 1 + accountFraction(0)*(m.pattern.hotFactor-1)
-	m.after(time.Duration(m.rng.ExpFloat64()/(rate*o.maxFactor()*hot)*float64(time.Second)), func() {
+	m.after(time.Duration(m.arrivals.ExpFloat64()/(rate*o.maxFactor()*hot)*float64(time.Second)), func() {
 		elapsed := m.now.Sub(m.measuredFrom)
 		factor := o.factor(r, d, elapsed)
 		if elapsed >= 0 {
 			factor *= hot
 		}
-		if m.rng.Float64()*o.maxFactor()*hot < factor {
+		if m.arrivals.Float64()*o.maxFactor()*hot < factor {
 			m.spawn(func() { m.sendFrom(c, r, d) })
 		}
 		m.scheduleDomain(c, r, d, rate)
@@ -56,7 +55,7 @@
 func (m *model) sendFrom(c *class, r, d int) {
 	start := m.now
 	account := m.drawAccount()
-	object := id.Object(fmt.Sprintf("%s-%d", c.Route, m.rng.IntN(c.Objects)))
+	object := id.Object(fmt.Sprintf("%s-%d", c.Route, m.arrivals.IntN(c.Objects)))
 	first := 0
 	for region := range regions {
 		for domain := range domainsPerRegion {
@@ -65,8 +64,8 @@
 			}
 		}
 	}
-	host := m.hosts[first+m.rng.IntN(m.pattern.hostsIn(r, d))]
-	if m.division == DivisionSampled {
+	host := m.hosts[first+m.arrivals.IntN(m.pattern.hostsIn(r, d))]
+	if m.sampled {
 		m.sampleReports(host, c, object)
 	}
 	m.sendTo(c, host, start, account, object)
@@ -79,7 +78,7 @@
 		want += m.pattern.overload.noisyFraction
 		if want >= 1 {
 			want--
-			u.noisy, u.phase = true, time.Duration(m.rng.Int64N(int64(2*noisyPeriod)))
+			u.noisy, u.phase = true, time.Duration(m.faults.Int64N(int64(2*noisyPeriod)))
 		}
 	}
 }
--- a/internal/loadmodel/result.go
+++ b/internal/loadmodel/result.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/hedge"
 	"celerypin.example/celerypin/pkg/coordination/steer"
 	"celerypin.example/celerypin/pkg/state/id"
 )
@@ -38,7 +39,7 @@
 	// that the upstreams did not accept.
 	UpstreamArrivals int `json:"upstream_arrivals,omitempty"`
 	TurnedAway       int `json:"turned_away,omitempty"`
-	// ReportBytes is the size of the messages that the division of room has added.
+	// ReportBytes is the size of the messages that the policy has added.
 	ReportBytes int `json:"report_bytes,omitempty"`
 
 	all       worth
@@ -46,6 +47,14 @@
 	byAccount map[id.Account]*worth
 	bySecond  []worth
 	latencies []time.Duration
+	// repeatable are the latencies of the answered requests that may run twice.
+	repeatable []time.Duration
+	// copies counts the second copies of requests, copiesWon those whose answer was used.
+	copies, copiesWon int
+	// suppressed counts the slow requests without a copy by the reason.
+	suppressed map[hedge.Reason]int
+	// busy is the time for which slots of upstreams were used, warm-up included.
+	busy time.Duration
 }
 
 // worth sums what requests earned, and what they would have earned within their
@@ -62,7 +71,8 @@
 
 func newResult(duration time.Duration) Result {
 	return Result{
-		byRegion: map[id.Region]*worth{}, byAccount: map[id.Account]*worth{}, bySecond: make([]worth, int(duration/time.Second)+1),
+		suppressed: map[hedge.Reason]int{},
+		byRegion:   map[id.Region]*worth{}, byAccount: map[id.Account]*worth{}, bySecond: make([]worth, int(duration/time.Second)+1),
 	}
 }
 
@@ -89,6 +99,9 @@
 	}
 	if outcome == steer.Delivered {
 		r.latencies = append(r.latencies, latency)
+		if c.Idempotent {
+			r.repeatable = append(r.repeatable, latency)
+		}
 	}
 	if r.byRegion[region] == nil {
 		r.byRegion[region] = &worth{}
--- a/pkg/coordination/place/choice.go
+++ b/pkg/coordination/place/choice.go
@@ -113,15 +113,25 @@
 // states is recorded before.
 func (c *Choice) RecordAnswer(latency time.Duration, now clock.Instant) {
 	work := max(latency-c.wait-c.roundTrip, time.Millisecond)
-	answered, _ := c.Upstream.pace.at(now)
-	ran := float64(paceOfRun(c.pace, answered, c.paceWeight))
+	ran := c.paceOfRun(now)
 	if !c.Upstream.Cold(now) {
 		// The pace is replaced by that of the run; neither is part of the timing.
 		slowdown := c.slowdown / float64(c.pace) * ran
 		c.timing.observe(c.known, time.Duration(float64(work)/max(slowdown, 1)))
 	}
-	// The upstream's slowness is relative to what other upstreams would take at the pace
-	// that it states; the pace itself must not count as slowness as well.
-	expected := c.roundTrip + time.Duration(float64(c.wait+c.work)/c.slowdown*ran)
+	expected := c.expectedElsewhere(ran)
 	c.Upstream.RecordAnswer(c.object, latency, expected, now)
 }
+
+// paceOfRun returns the pace at which the request has probably run, if it ended at now.
+func (c *Choice) paceOfRun(now clock.Instant) float64 {
+	answered, _ := c.Upstream.pace.at(now)
+	return float64(paceOfRun(c.pace, answered, c.paceWeight))
+}
+
+// expectedElsewhere returns the time that other upstreams would take at the pace of the run.
+// The upstream's slowness is relative to it; the pace itself must not count as slowness as
+// well.
+func (c *Choice) expectedElsewhere(ran float64) time.Duration {
+	return c.roundTrip + time.Duration(float64(c.wait+c.work)/c.slowdown*ran)
+}
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -63,6 +63,7 @@
 	d.service = d.chooseTarget(d.route.Targets)
 	d.decision.Service = d.service
 	d.retryLimit(d.service).Earn()
+	d.Hedger.Earn(d.service)
 	for {
 		now := d.Clock.Now()
 		remaining := d.deadline.Sub(now)
@@ -81,7 +82,7 @@
 		if status != place.Chosen {
 			return d.noUpstream(status)
 		}
-		exchange := d.send(ctx, choice, remaining)
+		exchange := d.sendHedged(ctx, choice, remaining)
 		if decision, done := d.conclude(ctx, choice, exchange); done {
 			return decision
 		}
@@ -236,18 +237,13 @@
 
 // settle withdraws the count of a request that has not run, which its exchange shows.
 func (d *dispatch[A]) settle(mark *usage.Mark, result Result) {
-	if !mayHaveRun(result) {
+	if result.notRun() {
 		mark.Withdraw()
 		return
 	}
 	mark.Ended(result != NoAnswer, d.Clock.Now())
 }
 
-// mayHaveRun reports whether the upstream may have run the request.
-func mayHaveRun(result Result) bool {
-	return result != Shed && result != Misdirected && result != NotSent
-}
-
 // record updates the state of the upstream and the counts of its release after an
 // exchange.
 func (d *dispatch[A]) record(ctx context.Context, c *place.Choice, e Exchange[A], elapsed time.Duration) {
@@ -263,6 +259,9 @@
 	}
 	interrupted := ctx.Err() != nil && context.Cause(ctx) != errDeadline
 	switch {
+	case context.Cause(ctx) == errOtherAnswered && e.Result == NoAnswer:
+		// Counts against the release below if it was slow already.
+		c.RecordAtLeast(elapsed, now)
 	case interrupted && e.Result == NoAnswer:
 		// Says nothing about the upstream, but may count against its release.
 	case interrupted && e.Result != Answered:
@@ -271,6 +270,7 @@
 		c.RecordAnswer(elapsed, now)
 	case e.Result == Shed:
 		u.RecordShed(now)
+		d.Hedger.RecordRefusal(d.service, now)
 		return
 	case e.Result == Misdirected:
 		u.MarkDraining()
@@ -320,7 +320,7 @@
 		return d.finish(Delivered, ReasonNone, 0), true
 	}
 	d.newConnection = e.ReusedConnection && (e.Result == NoAnswer || e.Result == NotSent)
-	notRun := !mayHaveRun(e.Result)
+	notRun := e.Result.notRun()
 	d.mayHaveRun = d.mayHaveRun || !notRun
 	retry := (notRun || d.route.Retryable()) && d.mayRetry(e.Result)
 	switch {
@@ -360,6 +360,7 @@
 	decision := d.finish(Refused, ReasonFull, fullRetryDelay)
 	// Clients that come back before an upstream takes requests are refused again.
 	now := d.Clock.Now()
+	d.Hedger.RecordRefusal(d.service, now)
 	decision.RetryAfter += d.Placer.MayServeFrom(d.query(decision.Remaining), now).Sub(now)
 	return decision
 }
