--- a/pkg/coordination/usage/usage_test.go
+++ b/pkg/coordination/usage/usage_test.go
@@ -166,6 +166,52 @@
 	}
 }
 
+// TestTimeAgreement guards against a time that follows a clock which jumped, the host's own
+// included, or the clocks that seem slow because their messages waited during a pause.
+func TestTimeAgreement(t *testing.T) {
+	at := clock.Instant(time.Hour)
+	late := func(d time.Duration) Time { return modelStart.Add(d) }
+	for _, c := range []struct {
+		name   string
+		own    Time
+		others []Time
+		hosts  int
+		agreed bool
+	}{
+		{"a single host", late(0), nil, 1, true},
+		{"alone in a larger fleet", late(time.Hour), nil, 5, false},
+		{"the other of two differs", late(0), []Time{late(time.Hour)}, 2, false},
+		{"two that jumped together of nine", late(time.Hour), []Time{late(time.Hour)}, 9, false},
+		{"own clock jumped", late(time.Hour), []Time{late(0), late(0), late(time.Millisecond)}, 4, true},
+		{"halves differ", late(0), []Time{late(0), late(time.Minute), late(time.Minute)}, 4, false},
+	} {
+		a := NewTimeAgreement()
+		for i, wall := range c.others {
+			a.Heard(id.Host("host-"+string(rune('0'+i))), wall, at)
+		}
+		a.Agree(c.own, c.hosts, at)
+		if got, agreed := a.Now(at); agreed != c.agreed || agreed && got.Sub(modelStart) > clockTolerance {
+			t.Errorf("%s: got %v after the true time, agreed %v, want agreed %v", c.name, got.Sub(modelStart), agreed, c.agreed)
+		}
+	}
+	a := NewTimeAgreement()
+	hear := func(wall Time, now clock.Instant) {
+		for _, h := range []id.Host{"b", "c", "d", "e"} {
+			a.Heard(h, wall, now)
+		}
+	}
+	a.Running(at)
+	hear(late(0), at)
+	a.Agree(late(0), 5, at)
+	resumed := at.Add(10 * time.Second)
+	a.Running(resumed)
+	hear(late(time.Second), resumed)
+	a.Agree(late(10*time.Second), 5, resumed)
+	if got, _ := a.Now(resumed); got != late(10*time.Second) {
+		t.Errorf("after a pause: got %v after the start, want 10s", got.Sub(modelStart))
+	}
+}
+
 // TestMeterWithdraws guards against counting requests that did not run, twice withdrawn
 // marks, and buckets of the ring's last round.
 func TestMeterWithdraws(t *testing.T) {
