--- a/pkg/coordination/place/placer.go
+++ b/pkg/coordination/place/placer.go
@@ -235,9 +235,10 @@
 // It compares the first Policy.Candidates in the order of ownership. If none of them is
 // expected to answer in time, it returns one with a free slot, because the estimate may be
 // wrong and the slot is idle. If they can take no request, it goes on to upstreams that
-// have just reported idle slots: a request takes several times the slot time where its object is not
-// known, and displaces objects that are. Under overload, sending it to any upstream keeps
-// all objects unknown, and the overload does not end with the burst that caused it.
+// have just reported idle slots: a request takes several times the slot time where its
+// object is not known, and displaces objects that are. Under overload, sending it to any
+// upstream keeps all objects unknown, and the overload does not end with the burst that
+// caused it.
 // It returns a cold upstream only within that upstream's rate.
 func (p *Placer) chooseIn(list []*Upstream, q *Query, object uint64, t *timing, now clock.Instant) *Choice {
 	var best, idle *Choice
--- a/pkg/coordination/place/survey.go
+++ b/pkg/coordination/place/survey.go
@@ -28,7 +28,8 @@
 	ExcludedBackoff Exclusion = "backoff"
 	// ExcludedRegion means that a region before its own has the chosen upstream.
 	ExcludedRegion Exclusion = "later_region"
-	// ExcludedRank means that enough upstreams before it were compared.
+	// ExcludedRank means that upstreams before it could take the request, or that it is not
+	// one of the first owners and has not just reported idle slots.
 	ExcludedRank Exclusion = "later_rank"
 	// ExcludedFull means that its queue is full.
 	ExcludedFull Exclusion = "full"
