--- /dev/null
+++ b/review/_standin-2/deployment.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/platform"
+	"celerypin.example/celerypin/platform/standin"
+)
+
+// Ports of every host; the hosts differ in their addresses.
+const (
+	frontPort     = 8206
+	readyPort     = 8201
+	directoryPort = 8209
+	peerPort      = 7600
+)
+
+// host is one entry host: a process of the deploy file's command.
+type host struct {
+	name     string
+	ip       string
+	settings string
+	process  *exec.Cmd
+	exited   chan struct{}
+}
+
+func (h *host) front() string     { return fmt.Sprintf("%s:%d", h.ip, frontPort) }
+func (h *host) ready() string     { return fmt.Sprintf("%s:%d", h.ip, readyPort) }
+func (h *host) directory() string { return fmt.Sprintf("%s:%d", h.ip, directoryPort) }
+
+// deployment is a small installation on loopback addresses.
+type deployment struct {
+	store   *standin.Store
+	address string
+	folder  string
+	zones   map[id.FailureDomain]id.Region
+	hosts   []*host
+	record  *record
+	version uint64
+}
+
+func newDeployment(r *record) (*deployment, error) {
+	folder, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{store: standin.NewStore(), folder: folder, record: r, zones: map[id.FailureDomain]id.Region{"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d.address = listener.Addr().String()
+	go func() { _ = http.Serve(listener, d.store.Handler("")) }()
+	return d, nil
+}
+
+// freeIP returns a loopback address on which the ports of a host are free.
+func freeIP() (string, error) {
+	for range 100 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+		if free(ip) {
+			return ip, nil
+		}
+	}
+	return "", fmt.Errorf("no loopback address with free ports")
+}
+
+func free(ip string) bool {
+	for _, port := range []int{frontPort, readyPort, directoryPort, peerPort, peerPort + 1} {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+// addHost writes the settings of a host and starts its process.
+func (d *deployment) addHost(name string, zone id.FailureDomain) (*host, error) {
+	ip, err := freeIP()
+	if err != nil {
+		return nil, err
+	}
+	h := &host{name: name, ip: ip, settings: filepath.Join(d.folder, name+".json")}
+	data, err := standin.HostSettings{
+		Host: fleet.Host{ID: id.Host(name), Region: d.zones[zone], FailureDomain: zone, Address: h.front()},
+		IP:   ip, ReadyAddress: h.ready(), DirectoryAddress: h.directory(), PeerPort: peerPort, Store: d.address,
+		Regions: d.zones, MemoryMiB: 284, Bounds: standin.Bounds(),
+	}.SettingsFile()
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(h.settings, data, 0o644); err != nil {
+		return nil, err
+	}
+	d.hosts = append(d.hosts, h)
+	return h, d.start(h)
+}
+
+// start starts the process of a host with the command of the deploy file.
+func (d *deployment) start(h *host) error {
+	log, err := os.OpenFile(filepath.Join(d.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	h.process = exec.Command("target/celerypin", "serve", "--metrics-port", "7601")
+	h.process.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings)
+	h.process.Stdout, h.process.Stderr = log, log
+	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := h.process.Start(); err != nil {
+		return err
+	}
+	d.record.add("host %s started", h.name)
+	h.exited = make(chan struct{})
+	go func(p *exec.Cmd, exited chan struct{}) {
+		_ = p.Wait()
+		close(exited)
+	}(h.process, h.exited)
+	return nil
+}
+
+// awaitReady waits until all hosts say that they are ready, and a little longer.
+func (d *deployment) awaitReady() error {
+	client := &http.Client{Timeout: time.Second}
+	deadline := time.Now().Add(20 * time.Second)
+	for _, h := range d.hosts {
+		for {
+			response, err := client.Get("http://" + h.ready() + "/api/readiness")
+			if err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("host %s is not ready", h.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	return nil
+}
+
+// resolve asks a host where to connect, as clients do.
+func (d *deployment) resolve(h *host, virtualHost string, zone id.FailureDomain) ([]string, error) {
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Get(fmt.Sprintf("http://%s/api/resolve?name=%s&region=%s&zone=%s", h.directory(), virtualHost, d.zones[zone], zone))
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return nil, err
+	}
+	if len(answer.Addresses) == 0 {
+		return nil, fmt.Errorf("the directory names no address")
+	}
+	return answer.Addresses, nil
+}
+
+// configure writes a desired state as the operator does.
+func (d *deployment) configure(s *desired.State) error {
+	d.version += 3
+	s.Version = desired.Version(d.version)
+	return d.store.PutDesired(s)
+}
+
+// close ends all processes.
+func (d *deployment) close() {
+	for _, h := range d.hosts {
+		if h.process == nil || h.process.Process == nil {
+			continue
+		}
+		_ = h.process.Process.Signal(syscall.SIGCONT)
+		_ = h.process.Process.Kill()
+		<-h.exited
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(d.folder)
+	} else {
+		fmt.Println(d.folder)
+	}
+}
+
+// register writes the row of a worker.
+func (d *deployment) register(name, service, zone, address string, slots int, born int64) {
+	d.store.Put("servers", name, fmt.Appendf(nil, `{"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","seq":1,"coldLeftS":0},"born":%d}`,
+		address, service, zone, slots, born))
+}
+
+func (d *deployment) unregister(name string) { d.store.Delete("servers", name) }
+
+func signature(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+// record collects what was sent, answered and run.
+type record struct {
+	mu    sync.Mutex
+	start time.Time
+	file  *os.File
+}
+
+func newRecord(path string) (*record, error) {
+	f, err := os.Create(path)
+	return &record{start: time.Now(), file: f}, err
+}
+
+func (r *record) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
