--- /dev/null
+++ b/review/_standin-2/earlyanswer.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+const (
+	// photoBytes is the size of an upload, which the client sends in parts of photoPart with
+	// photoPause between them: 2 MB/s.
+	photoBytes = 2 << 20
+	photoPart  = 64 << 10
+	photoPause = 30 * time.Millisecond
+	// readOn is how long after its answer the worker reads on.
+	readOn = 100 * time.Millisecond
+	photos = 8
+)
+
+// photo is what a worker got of an upload.
+type photo struct {
+	got  int
+	same bool
+	err  error
+}
+
+// photoWorker is a stand-in of a worker that answers uploads before it has read them, keeps the
+// channel and reads on later; without early, it reads them first.
+type photoWorker struct {
+	name   string
+	early  bool
+	record *record
+
+	mu     sync.Mutex
+	photos map[string]photo
+}
+
+func (w *photoWorker) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		attempt := r.Header.Get("Attempt-Id")
+		if want := r.Header.Get("Expect-Instance"); want != "" && want != w.name {
+			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", attempt)
+			return
+		}
+		w.record.add("worker %s runs %s (%s %s), %d bytes announced", w.name, attempt, r.Method, r.RequestURI, r.ContentLength)
+		if w.early {
+			w.answer(conn, attempt)
+			time.Sleep(readOn)
+		}
+		body, err := io.ReadAll(r.Body)
+		w.mu.Lock()
+		w.photos[attempt] = photo{len(body), bytes.Equal(body, photoOf(attempt)), err}
+		w.mu.Unlock()
+		w.record.add("worker %s got %d bytes of the body of %s: %v", w.name, len(body), attempt, err)
+		if err != nil {
+			return
+		}
+		if !w.early {
+			w.answer(conn, attempt)
+		}
+	}
+}
+
+func (w *photoWorker) answer(conn net.Conn, attempt string) {
+	out := []byte("stored " + attempt)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s", attempt, signature(out), len(out), out)
+	w.record.add("worker %s answered %s", w.name, attempt)
+}
+
+// photoOf returns the body of an upload.
+func photoOf(attempt string) []byte {
+	return bytes.Repeat([]byte(fmt.Sprintf("%-16s", attempt)), photoBytes/16)
+}
+
+// earlyAnswer uploads photos to workers that answer before they have read them.
+func earlyAnswer(d *deployment, trouble bool) (bool, error) {
+	if err := d.configure(&desired.State{
+		Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Services: []*desired.Service{{Name: "gallery", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
+		Accounts: []*desired.Account{{ID: "sese880", Keys: []string{viewKey}, Rate: 182, Burst: 182}},
+		Routes: []*desired.Route{{Name: "r-photos", VirtualHost: "photos.example", Prefix: "/photos/", Kind: desired.Upload, Targets: []desired.Target{{Service: "gallery", Weight: 1}},
+			Timeout: 3 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2}},
+	}); err != nil {
+		return false, err
+	}
+	var workers []*photoWorker
+	for i, zone := range []id.FailureDomain{"zone-a", "zone-b", "zone-c"} {
+		for n := range 2 {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return false, err
+			}
+			w := &photoWorker{name: fmt.Sprintf("i-photo-%d-%d", i, n), early: trouble, record: d.record, photos: map[string]photo{}}
+			workers = append(workers, w)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go w.serve(conn)
+				}
+			}()
+			d.register(w.name, "gallery", string(zone), listener.Addr().String(), 4, time.Now().UnixMilli())
+		}
+		if _, err := d.addHost("edge-"+string(zone), zone); err != nil {
+			return false, err
+		}
+	}
+	if err := d.awaitReady(); err != nil {
+		return false, err
+	}
+	addresses, err := d.resolve(d.hosts[0], "photos.example", "zone-a")
+	if err != nil {
+		return false, err
+	}
+	changed := 0
+	for n := range photos {
+		attempt := fmt.Sprintf("photo%d", n)
+		if !d.upload(addresses[n%len(addresses)], attempt) {
+			continue
+		}
+		// The worker may still be reading.
+		time.Sleep(time.Second)
+		for _, w := range workers {
+			w.mu.Lock()
+			p, ran := w.photos[attempt]
+			w.mu.Unlock()
+			if ran && !p.same {
+				changed++
+				d.record.add("the client has the whole success of worker %s for %s, and the worker got %d of %d bytes", w.name, attempt, p.got, photoBytes)
+			}
+		}
+	}
+	d.record.add("%d of %d uploads were answered with success and reached their worker with another body than the client's", changed, photos)
+	return changed > 0, nil
+}
+
+// upload sends a photo, reads its answer and reports whether it is a whole success of a worker.
+func (d *deployment) upload(address, attempt string) (success bool) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		d.record.add("client cannot connect: %v", err)
+		return false
+	}
+	defer conn.Close()
+	d.record.add("client sends %s, %d bytes", attempt, photoBytes)
+	_, _ = fmt.Fprintf(conn, "POST /photos/%s HTTP/1.1\r\nHost: photos.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", attempt, attempt, viewKey, photoBytes)
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		body := photoOf(attempt)
+		for sent := 0; sent < len(body); sent += photoPart {
+			if _, err := conn.Write(body[sent : sent+photoPart]); err != nil {
+				d.record.add("client could send %d bytes of %s: %v", sent, attempt, err)
+				return
+			}
+			time.Sleep(photoPause)
+		}
+		d.record.add("client has sent all of %s", attempt)
+	})
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		var out []byte
+		if out, err = io.ReadAll(response.Body); err == nil {
+			success = response.StatusCode == http.StatusOK && response.Header.Get("Response-Signature") == signature(out)
+			d.record.add("client got the answer to %s: status %d, signature right: %v, Connection: %q", attempt, response.StatusCode, success, response.Header.Get("Connection"))
+		}
+	}
+	if err != nil {
+		d.record.add("client got no answer to %s: %v", attempt, err)
+	}
+	sending.Wait()
+	return success
+}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"behind-broken":  behindBroken,
+	"early-answer":   earlyAnswer,
 	"reader-killed":  readerKilled,
 	"stalled-answer": stalledAnswer,
 }
