--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment.go
@@ -46,7 +46,6 @@
 // deployment is a small installation on loopback addresses.
 type deployment struct {
 	store   *standin.Store
-	address string
 	folder  string
 	zones   map[id.FailureDomain]id.Region
 	hosts   []*host
@@ -60,12 +59,6 @@
 		return nil, err
 	}
 	d := &deployment{store: standin.NewStore(), folder: folder, record: r, zones: map[id.FailureDomain]id.Region{"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	d.address = listener.Addr().String()
-	go func() { _ = http.Serve(listener, d.store.Handler("")) }()
 	return d, nil
 }
 
@@ -98,9 +91,15 @@
 		return nil, err
 	}
 	h := &host{name: name, ip: ip, settings: filepath.Join(d.folder, name+".json")}
+	// The store knows the hosts by the listener that each calls.
+	store, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(store, d.store.Handler(id.Host(name))) }()
 	data, err := standin.HostSettings{
 		Host: fleet.Host{ID: id.Host(name), Region: d.zones[zone], FailureDomain: zone, Address: h.front()},
-		IP:   ip, ReadyAddress: h.ready(), DirectoryAddress: h.directory(), PeerPort: peerPort, Store: d.address,
+		IP:   ip, ReadyAddress: h.ready(), DirectoryAddress: h.directory(), PeerPort: peerPort, Store: store.Addr().String(),
 		Regions: d.zones, MemoryMiB: 284, Bounds: standin.Bounds(),
 	}.SettingsFile()
 	if err != nil {
--- /dev/null
+++ b/review/_standin-2/firststart.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/id"
+)
+
+const (
+	// startGap is the time between the starts of two hosts; all start within 0.3 s.
+	startGap = 25 * time.Millisecond
+	// refusedAt and refusedFor are when, after the first start, the store begins to turn some
+	// hosts away, and for how long.
+	refusedAt  = 350 * time.Millisecond
+	refusedFor = 9 * time.Second
+	// trafficAt is when traffic starts, after the first start.
+	trafficAt  = 8 * time.Second
+	trafficFor = 8 * time.Second
+	// quotaRate, quotaBurst, quotaWindow, quotaExcess and quotaSlack are the tenant's quota and
+	// the bounds of the rule.
+	quotaRate   = 100
+	quotaBurst  = 100
+	quotaWindow = 5 * time.Second
+	quotaExcess = 0.1
+	quotaSlack  = 20
+	// demandPerHost is what the tenant asks of each host a second: 7.7 times its rate in all.
+	demandPerHost = 70
+	quotaHosts    = 11
+	refusedHosts  = 3
+)
+
+// firstStart starts all hosts for the first time. The store soon turns some of them away,
+// and serves the others. One tenant sends more than its quota.
+func firstStart(d *deployment, trouble bool) (bool, error) {
+	if err := d.configure(&desired.State{
+		Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Services: []*desired.Service{{Name: "huvo11a", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
+		Accounts: []*desired.Account{{ID: "sese880", Keys: []string{viewKey}, Rate: quotaRate, Burst: quotaBurst}},
+		Routes: []*desired.Route{{Name: "r-view", VirtualHost: viewHost, Prefix: "/lepu270/", Kind: desired.Idempotent, Targets: []desired.Target{{Service: "huvo11a", Weight: 1}},
+			Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 2}},
+	}); err != nil {
+		return false, err
+	}
+	var mu sync.Mutex
+	var runs []time.Time
+	zones := []id.FailureDomain{"zone-a", "zone-b", "zone-c"}
+	for i, zone := range zones {
+		for n := range 6 {
+			name := fmt.Sprintf("i-%d-%d", i, n)
+			if _, err := d.addWorker(name, "huvo11a", string(zone), 8, func(*http.Request, []byte) []byte {
+				mu.Lock()
+				runs = append(runs, time.Now())
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+				return []byte("view")
+			}); err != nil {
+				return false, err
+			}
+		}
+	}
+	start := time.Now()
+	// Machines start in any order: here the first three in that of falling names.
+	names := []string{"edge-a-3", "edge-a-2", "edge-a-1", "edge-a-4", "edge-b-1", "edge-b-2", "edge-b-3", "edge-b-4", "edge-c-1", "edge-c-2", "edge-c-3"}
+	for i, name := range names {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * startGap)))
+		if _, err := d.addHost(name, zones[name[5]-'a']); err != nil {
+			return false, err
+		}
+	}
+	if trouble {
+		time.Sleep(time.Until(start.Add(refusedAt)))
+		for _, name := range names[:refusedHosts] {
+			d.store.SetRefused(id.Host(name), true)
+			d.record.add("the store turns %s away (503)", name)
+		}
+		time.AfterFunc(time.Until(start.Add(refusedAt+refusedFor)), func() {
+			for _, name := range names[:refusedHosts] {
+				d.store.SetRefused(id.Host(name), false)
+				d.record.add("the store serves %s again", name)
+			}
+		})
+	}
+	time.Sleep(time.Until(start.Add(trafficAt)))
+	for _, h := range d.hosts {
+		addresses, err := d.resolve(h, viewHost, zones[h.name[5]-'a'])
+		d.record.add("the directory of %s names %v (%v)", h.name, addresses, err)
+	}
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	counts := map[string]int{}
+	for _, h := range d.hosts {
+		for n := range demandPerHost / 10 {
+			running.Go(func() {
+				for k := range d.callQuota(h, n, stop) {
+					mu.Lock()
+					counts[fmt.Sprintf("%s status %d", h.name, k)]++
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	time.Sleep(trafficFor)
+	close(stop)
+	running.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	var lines []string
+	for k, n := range counts {
+		lines = append(lines, fmt.Sprintf("%s: %d", k, n))
+	}
+	slices.Sort(lines)
+	for _, line := range lines {
+		d.record.add("%s", line)
+	}
+	slices.SortFunc(runs, time.Time.Compare)
+	most, from := 0, 0
+	for i, at := range runs {
+		for at.Sub(runs[from]) > quotaWindow {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	bound := (quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaExcess) + quotaSlack
+	d.record.add("at most %d requests of the tenant ran within %v, %.0f are allowed", most, quotaWindow, bound)
+	return float64(most) > bound, nil
+}
+
+// callQuota sends ten requests a second to a host until stop is closed, and yields the statuses.
+func (d *deployment) callQuota(h *host, n int, stop <-chan struct{}) func(yield func(status int) bool) {
+	return func(yield func(status int) bool) {
+		var conn net.Conn
+		var in *bufio.Reader
+		ticks := time.NewTicker(100 * time.Millisecond)
+		defer ticks.Stop()
+		for k := 0; ; k++ {
+			select {
+			case <-stop:
+				if conn != nil {
+					_ = conn.Close()
+				}
+				return
+			case <-ticks.C:
+			}
+			if conn == nil {
+				var err error
+				if conn, err = net.DialTimeout("tcp", h.front(), time.Second); err != nil {
+					conn = nil
+					continue
+				}
+				in = bufio.NewReader(conn)
+			}
+			attempt := fmt.Sprintf("%s-%d-%d", h.name, n, k)
+			_ = conn.SetDeadline(time.Now().Add(2500 * time.Millisecond))
+			_, err := fmt.Fprintf(conn, "GET /lepu270/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAffinity-Key: %d\r\nDeadline-Ms: 2500\r\nAuthorization: Bearer %s\r\n\r\n",
+				k%51, viewHost, attempt, k%51, viewKey)
+			status := 0
+			if err == nil {
+				status, err = readStatus(in)
+			}
+			if err != nil {
+				_ = conn.Close()
+				conn = nil
+			}
+			if !yield(status) {
+				return
+			}
+		}
+	}
+}
+
+// readStatus reads an answer and returns its status.
+func readStatus(in *bufio.Reader) (int, error) {
+	response, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"behind-broken":  behindBroken,
 	"early-answer":   earlyAnswer,
+	"first-start":    firstStart,
 	"reader-killed":  readerKilled,
 	"stalled-answer": stalledAnswer,
 }
