--- a/review/_standin-2/firststart.go
+++ b/review/_standin-2/firststart.go
@@ -51,7 +51,6 @@
 	}
 	var mu sync.Mutex
 	var runs []time.Time
-	zones := []id.FailureDomain{"zone-a", "zone-b", "zone-c"}
 	for i, zone := range zones {
 		for n := range 6 {
 			name := fmt.Sprintf("i-%d-%d", i, n)
@@ -66,27 +65,9 @@
 			}
 		}
 	}
-	start := time.Now()
-	// Machines start in any order: here the first three in that of falling names.
-	names := []string{"edge-a-3", "edge-a-2", "edge-a-1", "edge-a-4", "edge-b-1", "edge-b-2", "edge-b-3", "edge-b-4", "edge-c-1", "edge-c-2", "edge-c-3"}
-	for i, name := range names {
-		time.Sleep(time.Until(start.Add(time.Duration(i) * startGap)))
-		if _, err := d.addHost(name, zones[name[5]-'a']); err != nil {
-			return false, err
-		}
-	}
-	if trouble {
-		time.Sleep(time.Until(start.Add(refusedAt)))
-		for _, name := range names[:refusedHosts] {
-			d.store.SetRefused(id.Host(name), true)
-			d.record.add("the store turns %s away (503)", name)
-		}
-		time.AfterFunc(time.Until(start.Add(refusedAt+refusedFor)), func() {
-			for _, name := range names[:refusedHosts] {
-				d.store.SetRefused(id.Host(name), false)
-				d.record.add("the store serves %s again", name)
-			}
-		})
+	start, err := d.startAll(trouble)
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(time.Until(start.Add(trafficAt)))
 	for _, h := range d.hosts {
@@ -186,3 +167,98 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
+
+// zones are the failure domains of the hosts.
+var zones = []id.FailureDomain{"zone-a", "zone-b", "zone-c"}
+
+// startAll starts all hosts, and lets the store turn some away if there is trouble.
+func (d *deployment) startAll(trouble bool) (start time.Time, err error) {
+	start = time.Now()
+	// Machines start in any order: here the first three in that of falling names.
+	names := []string{"edge-a-3", "edge-a-2", "edge-a-1", "edge-a-4", "edge-b-1", "edge-b-2", "edge-b-3", "edge-b-4", "edge-c-1", "edge-c-2", "edge-c-3"}
+	for i, name := range names {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * startGap)))
+		if _, err := d.addHost(name, zones[name[5]-'a']); err != nil {
+			return start, err
+		}
+	}
+	if trouble {
+		time.Sleep(time.Until(start.Add(refusedAt)))
+		for _, name := range names[:refusedHosts] {
+			d.store.SetRefused(id.Host(name), true)
+			d.record.add("the store turns %s away (503)", name)
+		}
+		time.AfterFunc(time.Until(start.Add(refusedAt+refusedFor)), func() {
+			for _, name := range names[:refusedHosts] {
+				d.store.SetRefused(id.Host(name), false)
+				d.record.add("the store serves %s again", name)
+			}
+		})
+	}
+	return start, nil
+}
+
+const (
+	// withdrawnAt is when the key is withdrawn, after the first start. applyBound is configApplyS
+	// and stretchMaxS together.
+	withdrawnAt = time.Second
+	applyBound  = 7 * time.Second
+	otherKey    = "cuyj8pjbvk9m68k7b2ex"
+)
+
+// firstStartKey is firstStart, with a key that is withdrawn before traffic starts and used all
+// the same.
+func firstStartKey(d *deployment, trouble bool) (bool, error) {
+	state := func(keys ...string) *desired.State {
+		return &desired.State{
+			Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+			Services: []*desired.Service{{Name: "huvo11a", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
+			Accounts: []*desired.Account{{ID: "sese880", Keys: keys, Rate: quotaRate, Burst: quotaBurst}},
+			Routes: []*desired.Route{{Name: "r-view", VirtualHost: viewHost, Prefix: "/lepu270/", Kind: desired.Idempotent, Targets: []desired.Target{{Service: "huvo11a", Weight: 1}},
+				Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 2}},
+		}
+	}
+	if err := d.configure(state(otherKey, viewKey)); err != nil {
+		return false, err
+	}
+	for i, zone := range zones {
+		if _, err := d.addWorker(fmt.Sprintf("i-%d", i), "huvo11a", string(zone), 8, func(*http.Request, []byte) []byte { return []byte("view") }); err != nil {
+			return false, err
+		}
+	}
+	start, err := d.startAll(trouble)
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(time.Until(start.Add(withdrawnAt)))
+	if err := d.configure(state(otherKey)); err != nil {
+		return false, err
+	}
+	withdrawn := time.Now()
+	d.record.add("the operator withdraws a key")
+	time.Sleep(time.Until(start.Add(trafficAt)))
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	stop := make(chan struct{})
+	late := 0
+	for n, h := range d.hosts {
+		running.Go(func() {
+			sentAt := time.Now()
+			for status := range d.callQuota(h, n, stop) {
+				after := sentAt.Sub(withdrawn)
+				d.record.add("a request with the withdrawn key, sent to %s at least %.3f s after its withdrawal, is answered %d", h.name, after.Seconds(), status)
+				if after > applyBound && status == http.StatusOK {
+					mu.Lock()
+					late++
+					mu.Unlock()
+				}
+				sentAt = time.Now()
+			}
+		})
+	}
+	time.Sleep(4 * time.Second)
+	close(stop)
+	running.Wait()
+	d.record.add("%d requests with the withdrawn key were sent later than %v after its withdrawal and ran", late, applyBound)
+	return late > 0, nil
+}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -17,11 +17,12 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"behind-broken":  behindBroken,
-	"early-answer":   earlyAnswer,
-	"first-start":    firstStart,
-	"reader-killed":  readerKilled,
-	"stalled-answer": stalledAnswer,
+	"behind-broken":   behindBroken,
+	"early-answer":    earlyAnswer,
+	"first-start":     firstStart,
+	"first-start-key": firstStartKey,
+	"reader-killed":   readerKilled,
+	"stalled-answer":  stalledAnswer,
 }
 
 func main() {
