--- a/review/_standin-2/behindbroken.go
+++ b/review/_standin-2/behindbroken.go
@@ -9,9 +9,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"celerypin.example/celerypin/pkg/state/desired"
-	"celerypin.example/celerypin/pkg/state/id"
 )
 
 const (
@@ -31,31 +28,24 @@
 // behindBroken lets a worker truncate large answers, behind which clients have sent further
 // requests that sound workers run.
 func behindBroken(d *deployment, trouble bool) (bool, error) {
-	if err := d.configure(&desired.State{
-		Limits: desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Services: []*desired.Service{
-			{Name: "packs", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7},
-			{Name: "boards", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7},
-		},
-		Accounts: []*desired.Account{{ID: "sese880", Keys: []string{viewKey}, Rate: 182, Burst: 182}},
-		Routes: []*desired.Route{
-			{Name: "r-packs", VirtualHost: "packs.example", Prefix: "/packs/", Kind: desired.Download, Targets: []desired.Target{{Service: "packs", Weight: 1}},
-				Timeout: 2500 * time.Millisecond, Objective: 250 * time.Millisecond, MaxAttempts: 2},
-			{Name: "r-boards", VirtualHost: "boards.example", Prefix: "/boards/", Kind: desired.Idempotent, Targets: []desired.Target{{Service: "boards", Weight: 1}},
-				Timeout: 2500 * time.Millisecond, Objective: 400 * time.Millisecond, MaxAttempts: 2},
+	if err := d.configure(state{
+		services: []string{"packs", "boards"}, keys: []string{viewKey}, rate: 182, burst: 182,
+		routes: []route{
+			{name: "r-packs", host: "packs.example", prefix: "/packs/", kind: "download", service: "packs", timeoutS: 2.5, goalS: 0.25},
+			{name: "r-boards", host: "boards.example", prefix: "/boards/", kind: "idempotent", service: "boards", timeoutS: 2.5, goalS: 0.4},
 		},
 	}); err != nil {
 		return false, err
 	}
 	var sound []*worker
-	for i, zone := range []id.FailureDomain{"zone-a", "zone-b", "zone-c"} {
-		if _, err := d.addWorker(fmt.Sprintf("i-pack-%d", i), "packs", string(zone), 4, func(_ *http.Request, _ []byte) []byte {
+	for i, zone := range zoneNames {
+		if _, err := d.addWorker(fmt.Sprintf("i-pack-%d", i), "packs", zone, 4, func(_ *http.Request, _ []byte) []byte {
 			return bytes.Repeat([]byte("map "), packBytes/4)
 		}, truncating(trouble)); err != nil {
 			return false, err
 		}
 		for n := range 2 {
-			w, err := d.addWorker(fmt.Sprintf("i-board-%d-%d", i, n), "boards", string(zone), 4, func(r *http.Request, _ []byte) []byte {
+			w, err := d.addWorker(fmt.Sprintf("i-board-%d-%d", i, n), "boards", zone, 4, func(r *http.Request, _ []byte) []byte {
 				time.Sleep(20 * time.Millisecond)
 				return []byte("board of " + r.Header.Get("Attempt-Id"))
 			})
@@ -64,7 +54,7 @@
 			}
 			sound = append(sound, w)
 		}
-		if _, err := d.addHost("edge-"+string(zone), zone); err != nil {
+		if _, err := d.addHost("edge-"+zone, zone); err != nil {
 			return false, err
 		}
 	}
--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment.go
@@ -14,12 +14,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"celerypin.example/celerypin/pkg/state/desired"
-	"celerypin.example/celerypin/pkg/state/fleet"
-	"celerypin.example/celerypin/pkg/state/id"
-	"celerypin.example/celerypin/platform"
-	"celerypin.example/celerypin/platform/standin"
 )
 
 // Ports of every host; the hosts differ in their addresses.
@@ -32,22 +26,27 @@
 
 // host is one entry host: a process of the deploy file's command.
 type host struct {
-	name     string
-	ip       string
-	settings string
-	process  *exec.Cmd
-	exited   chan struct{}
+	name         string
+	ip           string
+	settingsPath string
+	process      *exec.Cmd
+	exited       chan struct{}
 }
 
 func (h *host) front() string     { return fmt.Sprintf("%s:%d", h.ip, frontPort) }
 func (h *host) ready() string     { return fmt.Sprintf("%s:%d", h.ip, readyPort) }
 func (h *host) directory() string { return fmt.Sprintf("%s:%d", h.ip, directoryPort) }
 
+// zones are the failure domains of the hosts, with their regions.
+var zones = map[string]string{"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
+
+// zoneNames are the zones in their order.
+var zoneNames = []string{"zone-a", "zone-b", "zone-c"}
+
 // deployment is a small installation on loopback addresses.
 type deployment struct {
-	store   *standin.Store
+	store   *store
 	folder  string
-	zones   map[id.FailureDomain]id.Region
 	hosts   []*host
 	record  *record
 	version uint64
@@ -58,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{store: standin.NewStore(), folder: folder, record: r, zones: map[id.FailureDomain]id.Region{"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}}
+	d := &deployment{store: newStore(), folder: folder, record: r}
 	return d, nil
 }
 
@@ -85,27 +84,23 @@
 }
 
 // addHost writes the settings of a host and starts its process.
-func (d *deployment) addHost(name string, zone id.FailureDomain) (*host, error) {
+func (d *deployment) addHost(name string, zone string) (*host, error) {
 	ip, err := freeIP()
 	if err != nil {
 		return nil, err
 	}
-	h := &host{name: name, ip: ip, settings: filepath.Join(d.folder, name+".json")}
+	h := &host{name: name, ip: ip, settingsPath: filepath.Join(d.folder, name+".json")}
 	// The store knows the hosts by the listener that each calls.
-	store, err := net.Listen("tcp", "127.0.0.1:0")
+	calls, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	go func() { _ = http.Serve(store, d.store.Handler(id.Host(name))) }()
-	data, err := standin.HostSettings{
-		Host: fleet.Host{ID: id.Host(name), Region: d.zones[zone], FailureDomain: zone, Address: h.front()},
-		IP:   ip, ReadyAddress: h.ready(), DirectoryAddress: h.directory(), PeerPort: peerPort, Store: store.Addr().String(),
-		Regions: d.zones, MemoryMiB: 284, Bounds: standin.Bounds(),
-	}.SettingsFile()
+	go func() { _ = http.Serve(calls, d.store.handler(name)) }()
+	data, err := d.settings(h, zone, calls.Addr().String())
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(h.settings, data, 0o644); err != nil {
+	if err := os.WriteFile(h.settingsPath, data, 0o644); err != nil {
 		return nil, err
 	}
 	d.hosts = append(d.hosts, h)
@@ -120,7 +115,7 @@
 	}
 	defer log.Close()
 	h.process = exec.Command("target/celerypin", "serve", "--metrics-port", "7601")
-	h.process.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings)
+	h.process.Env = append(os.Environ(), "CELERYPIN_SETTINGS="+h.settingsPath)
 	h.process.Stdout, h.process.Stderr = log, log
 	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.process.Start(); err != nil {
@@ -159,9 +154,9 @@
 }
 
 // resolve asks a host where to connect, as clients do.
-func (d *deployment) resolve(h *host, virtualHost string, zone id.FailureDomain) ([]string, error) {
+func (d *deployment) resolve(h *host, virtualHost string, zone string) ([]string, error) {
 	client := &http.Client{Timeout: time.Second}
-	response, err := client.Get(fmt.Sprintf("http://%s/api/resolve?name=%s&region=%s&zone=%s", h.directory(), virtualHost, d.zones[zone], zone))
+	response, err := client.Get(fmt.Sprintf("http://%s/api/resolve?name=%s&region=%s&zone=%s", h.directory(), virtualHost, zones[zone], zone))
 	if err != nil {
 		return nil, err
 	}
@@ -178,13 +173,6 @@
 	return answer.Addresses, nil
 }
 
-// configure writes a desired state as the operator does.
-func (d *deployment) configure(s *desired.State) error {
-	d.version += 3
-	s.Version = desired.Version(d.version)
-	return d.store.PutDesired(s)
-}
-
 // close ends all processes.
 func (d *deployment) close() {
 	for _, h := range d.hosts {
@@ -204,11 +192,11 @@
 
 // register writes the row of a worker.
 func (d *deployment) register(name, service, zone, address string, slots int, born int64) {
-	d.store.Put("servers", name, fmt.Appendf(nil, `{"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","seq":1,"coldLeftS":0},"born":%d}`,
+	d.store.put("servers", name, fmt.Appendf(nil, `{"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","seq":1,"coldLeftS":0},"born":%d}`,
 		address, service, zone, slots, born))
 }
 
-func (d *deployment) unregister(name string) { d.store.Delete("servers", name) }
+func (d *deployment) unregister(name string) { d.store.remove("servers", name) }
 
 func signature(body []byte) string {
 	sum := sha256.Sum256(body)
--- a/review/_standin-2/earlyanswer.go
+++ b/review/_standin-2/earlyanswer.go
@@ -9,9 +9,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"celerypin.example/celerypin/pkg/state/desired"
-	"celerypin.example/celerypin/pkg/state/id"
 )
 
 // uploadKind is the size of a body, and how long after its answer the worker reads on.
@@ -102,17 +99,16 @@
 
 // earlyAnswer uploads photos to workers that answer before they have read them.
 func earlyAnswer(d *deployment, trouble bool) (bool, error) {
-	if err := d.configure(&desired.State{
-		Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Services: []*desired.Service{{Name: "gallery", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
-		Accounts: []*desired.Account{{ID: "sese880", Keys: []string{viewKey}, Rate: 182, Burst: 182}},
-		Routes: []*desired.Route{{Name: "r-photos", VirtualHost: "photos.example", Prefix: "/photos/", Kind: desired.Upload, Targets: []desired.Target{{Service: "gallery", Weight: 1}},
-			Timeout: 3 * time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2}},
+	if err := d.configure(state{
+		services: []string{"gallery"}, keys: []string{viewKey}, rate: 182, burst: 182,
+		routes: []route{
+			{name: "r-photos", host: "photos.example", prefix: "/photos/", kind: "upload", service: "gallery", timeoutS: 3, goalS: 0.4},
+		},
 	}); err != nil {
 		return false, err
 	}
 	var workers []*photoWorker
-	for i, zone := range []id.FailureDomain{"zone-a", "zone-b", "zone-c"} {
+	for i, zone := range zoneNames {
 		for n := range 2 {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -129,9 +125,9 @@
 					go w.serve(conn)
 				}
 			}()
-			d.register(w.name, "gallery", string(zone), listener.Addr().String(), 4, time.Now().UnixMilli())
+			d.register(w.name, "gallery", zone, listener.Addr().String(), 4, time.Now().UnixMilli())
 		}
-		if _, err := d.addHost("edge-"+string(zone), zone); err != nil {
+		if _, err := d.addHost("edge-"+zone, zone); err != nil {
 			return false, err
 		}
 	}
--- a/review/_standin-2/firststart.go
+++ b/review/_standin-2/firststart.go
@@ -9,9 +9,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"celerypin.example/celerypin/pkg/state/desired"
-	"celerypin.example/celerypin/pkg/state/id"
 )
 
 const (
@@ -40,21 +37,20 @@
 // firstStart starts all hosts for the first time. The store soon turns some of them away,
 // and serves the others. One tenant sends more than its quota.
 func firstStart(d *deployment, trouble bool) (bool, error) {
-	if err := d.configure(&desired.State{
-		Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Services: []*desired.Service{{Name: "huvo11a", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
-		Accounts: []*desired.Account{{ID: "sese880", Keys: []string{viewKey}, Rate: quotaRate, Burst: quotaBurst}},
-		Routes: []*desired.Route{{Name: "r-view", VirtualHost: viewHost, Prefix: "/lepu270/", Kind: desired.Idempotent, Targets: []desired.Target{{Service: "huvo11a", Weight: 1}},
-			Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 2}},
+	if err := d.configure(state{
+		services: []string{"huvo11a"}, keys: []string{viewKey}, rate: quotaRate, burst: quotaBurst,
+		routes: []route{
+			{name: "r-view", host: viewHost, prefix: "/lepu270/", kind: "idempotent", service: "huvo11a", timeoutS: 2, goalS: 0.3},
+		},
 	}); err != nil {
 		return false, err
 	}
 	var mu sync.Mutex
 	var runs []time.Time
-	for i, zone := range zones {
+	for i, zone := range zoneNames {
 		for n := range 6 {
 			name := fmt.Sprintf("i-%d-%d", i, n)
-			if _, err := d.addWorker(name, "huvo11a", string(zone), 8, func(*http.Request, []byte) []byte {
+			if _, err := d.addWorker(name, "huvo11a", zone, 8, func(*http.Request, []byte) []byte {
 				mu.Lock()
 				runs = append(runs, time.Now())
 				mu.Unlock()
@@ -71,7 +67,7 @@
 	}
 	time.Sleep(time.Until(start.Add(trafficAt)))
 	for _, h := range d.hosts {
-		addresses, err := d.resolve(h, viewHost, zones[h.name[5]-'a'])
+		addresses, err := d.resolve(h, viewHost, zoneNames[h.name[5]-'a'])
 		d.record.add("the directory of %s names %v (%v)", h.name, addresses, err)
 	}
 	stop := make(chan struct{})
@@ -168,9 +164,6 @@
 	return response.StatusCode, err
 }
 
-// zones are the failure domains of the hosts.
-var zones = []id.FailureDomain{"zone-a", "zone-b", "zone-c"}
-
 // startAll starts all hosts, and lets the store turn some away if there is trouble.
 func (d *deployment) startAll(trouble bool) (start time.Time, err error) {
 	start = time.Now()
@@ -178,19 +171,19 @@
 	names := []string{"edge-a-3", "edge-a-2", "edge-a-1", "edge-a-4", "edge-b-1", "edge-b-2", "edge-b-3", "edge-b-4", "edge-c-1", "edge-c-2", "edge-c-3"}
 	for i, name := range names {
 		time.Sleep(time.Until(start.Add(time.Duration(i) * startGap)))
-		if _, err := d.addHost(name, zones[name[5]-'a']); err != nil {
+		if _, err := d.addHost(name, zoneNames[name[5]-'a']); err != nil {
 			return start, err
 		}
 	}
 	if trouble {
 		time.Sleep(time.Until(start.Add(refusedAt)))
 		for _, name := range names[:refusedHosts] {
-			d.store.SetRefused(id.Host(name), true)
+			d.store.setRefused(name, true)
 			d.record.add("the store turns %s away (503)", name)
 		}
 		time.AfterFunc(time.Until(start.Add(refusedAt+refusedFor)), func() {
 			for _, name := range names[:refusedHosts] {
-				d.store.SetRefused(id.Host(name), false)
+				d.store.setRefused(name, false)
 				d.record.add("the store serves %s again", name)
 			}
 		})
@@ -209,20 +202,19 @@
 // firstStartKey is firstStart, with a key that is withdrawn before traffic starts and used all
 // the same.
 func firstStartKey(d *deployment, trouble bool) (bool, error) {
-	state := func(keys ...string) *desired.State {
-		return &desired.State{
-			Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-			Services: []*desired.Service{{Name: "huvo11a", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
-			Accounts: []*desired.Account{{ID: "sese880", Keys: keys, Rate: quotaRate, Burst: quotaBurst}},
-			Routes: []*desired.Route{{Name: "r-view", VirtualHost: viewHost, Prefix: "/lepu270/", Kind: desired.Idempotent, Targets: []desired.Target{{Service: "huvo11a", Weight: 1}},
-				Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 2}},
+	with := func(keys ...string) state {
+		return state{
+			services: []string{"huvo11a"}, keys: keys, rate: quotaRate, burst: quotaBurst,
+			routes: []route{
+				{name: "r-view", host: viewHost, prefix: "/lepu270/", kind: "idempotent", service: "huvo11a", timeoutS: 2, goalS: 0.3},
+			},
 		}
 	}
-	if err := d.configure(state(otherKey, viewKey)); err != nil {
+	if err := d.configure(with(otherKey, viewKey)); err != nil {
 		return false, err
 	}
-	for i, zone := range zones {
-		if _, err := d.addWorker(fmt.Sprintf("i-%d", i), "huvo11a", string(zone), 8, func(*http.Request, []byte) []byte { return []byte("view") }); err != nil {
+	for i, zone := range zoneNames {
+		if _, err := d.addWorker(fmt.Sprintf("i-%d", i), "huvo11a", zone, 8, func(*http.Request, []byte) []byte { return []byte("view") }); err != nil {
 			return false, err
 		}
 	}
@@ -231,7 +223,7 @@
 		return false, err
 	}
 	time.Sleep(time.Until(start.Add(withdrawnAt)))
-	if err := d.configure(state(otherKey)); err != nil {
+	if err := d.configure(with(otherKey)); err != nil {
 		return false, err
 	}
 	withdrawn := time.Now()
--- a/review/_standin-2/readerkilled.go
+++ b/review/_standin-2/readerkilled.go
@@ -11,8 +11,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"celerypin.example/celerypin/pkg/state/desired"
 )
 
 const (
@@ -54,12 +52,11 @@
 // round. With trouble, a worker's entry is removed while that host is down, else it is removed
 // while all run. The check is the rule DRAIN for the hosts that are never disturbed.
 func readerKilled(d *deployment, trouble bool) (bool, error) {
-	if err := d.configure(&desired.State{
-		Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Services: []*desired.Service{{Name: "huvo11a", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
-		Accounts: []*desired.Account{{ID: "sese880", Keys: []string{viewKey}, Rate: 600, Burst: 600}},
-		Routes: []*desired.Route{{Name: "r-view", VirtualHost: viewHost, Prefix: "/lepu270/", Kind: desired.Idempotent, Targets: []desired.Target{{Service: "huvo11a", Weight: 1}},
-			Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 2}},
+	if err := d.configure(state{
+		services: []string{"huvo11a"}, keys: []string{viewKey}, rate: 600, burst: 600,
+		routes: []route{
+			{name: "r-view", host: viewHost, prefix: "/lepu270/", kind: "idempotent", service: "huvo11a", timeoutS: 2, goalS: 0.3},
+		},
 	}); err != nil {
 		return false, err
 	}
--- a/review/_standin-2/stalledanswer.go
+++ b/review/_standin-2/stalledanswer.go
@@ -8,9 +8,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"celerypin.example/celerypin/pkg/state/desired"
-	"celerypin.example/celerypin/pkg/state/id"
 )
 
 const (
@@ -30,17 +27,16 @@
 
 // stalledAnswer lets the workers pause in the middle of large answers.
 func stalledAnswer(d *deployment, trouble bool) (bool, error) {
-	if err := d.configure(&desired.State{
-		Limits:   desired.Limits{HeaderBytes: 16384, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Services: []*desired.Service{{Name: "packs", HealthPath: "/health", MaxConnections: 390, ColdFor: 3 * time.Second, ColdPerSecond: 7.7}},
-		Accounts: []*desired.Account{{ID: "sese880", Keys: []string{viewKey}, Rate: 182, Burst: 182}},
-		Routes: []*desired.Route{{Name: "r-packs", VirtualHost: "packs.example", Prefix: "/packs/", Kind: desired.Download, Targets: []desired.Target{{Service: "packs", Weight: 1}},
-			Timeout: streamTimeout, Objective: 250 * time.Millisecond, MaxAttempts: 2}},
+	if err := d.configure(state{
+		services: []string{"packs"}, keys: []string{viewKey}, rate: 182, burst: 182,
+		routes: []route{
+			{name: "r-packs", host: "packs.example", prefix: "/packs/", kind: "download", service: "packs", timeoutS: streamTimeout.Seconds(), goalS: 0.25},
+		},
 	}); err != nil {
 		return false, err
 	}
-	for i, zone := range []id.FailureDomain{"zone-a", "zone-b", "zone-c"} {
-		if _, err := d.addWorker(fmt.Sprintf("i-pack-%d", i), "packs", string(zone), 8, func(_ *http.Request, _ []byte) []byte {
+	for i, zone := range zoneNames {
+		if _, err := d.addWorker(fmt.Sprintf("i-pack-%d", i), "packs", zone, 8, func(_ *http.Request, _ []byte) []byte {
 			return bytes.Repeat([]byte("map "), packBytes/4)
 		}, func(w *worker) {
 			if trouble {
@@ -49,7 +45,7 @@
 		}); err != nil {
 			return false, err
 		}
-		if _, err := d.addHost("edge-"+string(zone), zone); err != nil {
+		if _, err := d.addHost("edge-"+zone, zone); err != nil {
 			return false, err
 		}
 	}
