--- a/review/_standin-2/readerkilled.go
+++ b/review/_standin-2/readerkilled.go
@@ -22,8 +22,10 @@
 	restartDelay = 500 * time.Millisecond
 	// removalDelay is when, after the kill, the worker's entry is removed.
 	removalDelay = 420 * time.Millisecond
-	rounds       = 10
-	roundTime    = 7 * time.Second
+	// stay is how long a worker serves after the removal of its entry.
+	stay      = 15 * time.Second
+	rounds    = 10
+	roundTime = 7 * time.Second
 	// jitter varies the time of a round, as kills are not in step with the reads of the store.
 	jitter  = 900 * time.Millisecond
 	clients = 12
@@ -98,6 +100,7 @@
 		if !trouble {
 			d.unregister(w.name)
 			gone = append(gone, leaving{w, time.Now()})
+			time.AfterFunc(stay, w.stop)
 			d.record.add("the entry of worker %s is removed; it goes on serving", w.name)
 			time.Sleep(roundTime)
 			continue
@@ -107,6 +110,7 @@
 		time.Sleep(removalDelay)
 		d.unregister(w.name)
 		gone = append(gone, leaving{w, time.Now()})
+		time.AfterFunc(stay, w.stop)
 		d.record.add("the entry of worker %s is removed; it goes on serving", w.name)
 		time.Sleep(restartDelay - removalDelay)
 		<-reader.exited
--- a/review/_standin-2/worker.go
+++ b/review/_standin-2/worker.go
@@ -25,8 +25,9 @@
 	pauseAt int
 	pause   time.Duration
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu    sync.Mutex
+	runs  map[string]int
+	conns []net.Conn
 }
 
 func (d *deployment) addWorker(name, service, zone string, slots int, answer func(r *http.Request, body []byte) []byte, options ...func(*worker)) (*worker, error) {
@@ -49,10 +50,24 @@
 		if err != nil {
 			return
 		}
+		w.mu.Lock()
+		w.conns = append(w.conns, conn)
+		w.mu.Unlock()
 		go w.serve(conn)
 	}
 }
 
+// stop ends the worker: it closes its port and its channels.
+func (w *worker) stop() {
+	w.record.add("worker %s ends", w.name)
+	_ = w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, conn := range w.conns {
+		_ = conn.Close()
+	}
+}
+
 func (w *worker) serve(conn net.Conn) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
