Refuse answers whose status line HTTP does not allow

What callers saw: an upstream answered with status 000. On the users' platform the host took it for an interim response and waited for another head: the client got no answer until its deadline, or whatever came next on the connection as the answer. Statuses from 600 reached the client. On the own interface the forwarder returned 000 as an answer, and believed its "not run".

Cause: net/http parses any three digits as a status and any HTTP version, and nothing checked them: http1.Pool treated all codes below 200 as interim, the users of http.Transport compared the code with the ones they know, at best.

Change: checkHead accepts HTTP/1 with a status from 100 to 599 (RFC 9110, section 15). Such an exchange matches ErrAnswerMalformed and counts as one that may have run; its connection is closed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -176,10 +176,10 @@
 	h.drawer = quota.NewDrawer(s.Host, h.tokenPool, c, h.sendAsk)
 	h.roster = roster.New(self, now)
 	h.pool = http1.NewPool(http1.NewDialer(dialTimeout), http1.DefaultAnswerLimits, c, h.guard)
-	h.store = platform.NewStore(s.Store, &http.Transport{
+	h.store = platform.NewStore(s.Store, http1.NewTransport(&http.Transport{
 		DialContext: http1.NewDialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	})
+	}))
 	h.copies = newCopies(h.store, c, log.Part("store"), min(s.Bounds.ConfigApply, s.Bounds.Drain))
 	h.controller = newController(h, self, log.Part("control"))
 	h.usage = newUsageExchange(h, self, log.Part("usage"))
--- a/internal/transport/http1/answer.go
+++ b/internal/transport/http1/answer.go
@@ -24,6 +24,8 @@
 	ErrAnswerTooSlow = errors.New("the upstream's answer is too slow")
 	// ErrAnswerForeign means that an answer is not, or may not be, this request's.
 	ErrAnswerForeign = errors.New("the answer belongs to another request")
+	// ErrAnswerMalformed means that HTTP does not allow what an upstream sent.
+	ErrAnswerMalformed = errors.New("the upstream's answer is malformed")
 )
 
 // Answer is an upstream's answer.
@@ -128,6 +130,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/internal/transport/http1/fuzz_test.go
+++ b/internal/transport/http1/fuzz_test.go
@@ -20,6 +20,9 @@
 	for _, e := range endlessAnswers {
 		f.Add([]byte(e.prefix + e.repeated))
 	}
+	for _, line := range statusLines {
+		f.Add([]byte(line + "\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n"))
+	}
 	f.Add([]byte(okAnswer("1", "body")))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + okAnswer("2", "foreign") + okAnswer("1", "own")))
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -38,6 +41,9 @@
 		if got := answer.Header.Get("Attempt"); got != "1" && got != "" {
 			t.Errorf("got the answer of attempt %q, want that of the request", got)
 		}
+		if answer.Status < http.StatusOK || answer.Status > maxStatus {
+			t.Errorf("got status %d, want that of a final answer", answer.Status)
+		}
 		if answer.Rest != nil {
 			_, _ = io.Copy(io.Discard, answer.Rest)
 		}
--- a/internal/transport/operator/client.go
+++ b/internal/transport/operator/client.go
@@ -11,6 +11,7 @@
 
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/internal/protocol/operator"
+	"celerypin.example/celerypin/internal/transport/http1"
 )
 
 // Errors of the client.
@@ -53,7 +54,7 @@
 
 // NewClient returns a client for the host at address.
 func NewClient(address, token string) *Client {
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := http1.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -16,6 +16,7 @@
 
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/internal/protocol/platform"
+	"celerypin.example/celerypin/internal/transport/http1"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/table"
@@ -40,13 +41,13 @@
 
 // New returns a client of the service at the URL base; timeout bounds each call.
 func New(base string, host id.Host, timeout time.Duration) *Client {
-	transport := &http.Transport{
+	transport := http1.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     maxIdleAge,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 	return &Client{base: base, host: host, timeout: timeout, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/transport/upstream/forward.go
+++ b/internal/transport/upstream/forward.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"celerypin.example/celerypin/internal/protocol/upstream"
+	"celerypin.example/celerypin/internal/transport/http1"
 	"celerypin.example/celerypin/pkg/coordination/pick"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -82,9 +83,9 @@
 // rewound, so that net/http cannot send it twice and it cannot get lost on a silent
 // connection.
 type Forwarder struct {
-	pooled *http.Transport
+	pooled *http1.Transport
 	// unpooled makes a new connection for each request.
-	unpooled *http.Transport
+	unpooled *http1.Transport
 	clock    clock.Clock
 	// exchanges is the number of the last exchange of this process.
 	exchanges atomic.Uint64
@@ -99,11 +100,11 @@
 // NewForwarder returns the forwarder of one incarnation of a host.
 func NewForwarder(host id.Host, inc id.Incarnation, c clock.Clock) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: maxIdleAge}
-	transport := func() *http.Transport {
-		return &http.Transport{
+	transport := func() *http1.Transport {
+		return http1.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: maxIdleAge,
 			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-		}
+		})
 	}
 	f := &Forwarder{pooled: transport(), unpooled: transport(), clock: c, host: host, exchangePrefix: string(host) + "-" + inc.String() + "-"}
 	f.unpooled.DisableKeepAlives = true
--- /dev/null
+++ b/internal/transport/upstream/malformed_test.go
@@ -0,0 +1,68 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"celerypin.example/celerypin/pkg/coordination/pick"
+	"celerypin.example/celerypin/pkg/state/clock"
+)
+
+// startRaw starts an upstream that sends a raw answer to each request.
+func startRaw(t *testing.T, rawAnswer string) *pick.Upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, rawAnswer)
+				}
+			}()
+		}
+	}()
+	return pickUpstream(t, listener.Addr().String())
+}
+
+// TestMalformedAnswerIsNoAnswer guards against callers that get an answer that HTTP does not
+// allow, and against a request that counts as not run because its answer is malformed.
+func TestMalformedAnswerIsNoAnswer(t *testing.T) {
+	for _, rawAnswer := range []string{
+		"HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 000 Zero\r\nCelerypin-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		for _, idempotent := range []bool{false, true} {
+			f := NewForwarder("h", 1, clock.System{})
+			defer f.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			r := &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}, Idempotent: idempotent, Remaining: 10 * time.Second}
+			response, err := f.Do(ctx, startRaw(t, rawAnswer), r)
+			if !errors.Is(err, ErrOutcomeUnknown) || errors.Is(err, ErrNotRun) {
+				t.Errorf("%q, idempotent %v: got answer %v, error %v, want %v", rawAnswer, idempotent, response, err, ErrOutcomeUnknown)
+			}
+		}
+	}
+}
--- a/internal/transport/upstream/poll.go
+++ b/internal/transport/upstream/poll.go
@@ -9,6 +9,7 @@
 
 	"celerypin.example/celerypin/internal/protocol/codec"
 	"celerypin.example/celerypin/internal/protocol/upstream"
+	"celerypin.example/celerypin/internal/transport/http1"
 	"celerypin.example/celerypin/pkg/coordination/pick"
 	"celerypin.example/celerypin/pkg/state/clock"
 )
@@ -32,7 +33,7 @@
 
 // NewPoller returns a poller of the picker's upstreams.
 func NewPoller(picker *pick.Picker, c clock.Clock) *Poller {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: maxIdleAge, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: maxIdleAge, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &Poller{picker: picker, client: &http.Client{Transport: transport, Timeout: pollTimeout}, clock: c}
 }
 
