Refuse answers with a field name that HTTP does not allow

What callers saw: an upstream answered with a blank in the name of a field. The client got a 200 without that line; where the line was "Transfer-Encoding : chunked", its body was the chunks as they were sent, or ended elsewhere than the upstream meant. A refusal with such a line was believed, too.

Cause: net/http keeps names with blanks as they are (go.dev/issue/34540) and does not use them to frame the body; on writing, it leaves them out. Names and values with control bytes it refuses already, which the tests keep.

Change: checkHead also checks the names of fields (httpguts), and checkedBody those of a trailer when the body ends, whether buffered, streamed or skipped.

--- a/internal/transport/http1/answer.go
+++ b/internal/transport/http1/answer.go
@@ -134,6 +134,7 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
+			response.Body = &checkedBody{response.Body, response}
 			return response, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/transport/http1/fuzz_test.go
+++ b/internal/transport/http1/fuzz_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,6 +24,9 @@
 	for _, line := range statusLines {
 		f.Add([]byte(line + "\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n"))
 	}
+	for _, line := range fieldLines {
+		f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt: 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n"))
+	}
 	f.Add([]byte(okAnswer("1", "body")))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + okAnswer("2", "foreign") + okAnswer("1", "own")))
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -44,6 +48,11 @@
 		if answer.Status < http.StatusOK || answer.Status > maxStatus {
 			t.Errorf("got status %d, want that of a final answer", answer.Status)
 		}
+		for name := range answer.Header {
+			if strings.ContainsAny(name, " \t\x00\x01\x7f") {
+				t.Errorf("got the field name %q, want one without blanks and control bytes", name)
+			}
+		}
 		if answer.Rest != nil {
 			_, _ = io.Copy(io.Discard, answer.Rest)
 		}
--- a/internal/transport/http1/malformed_test.go
+++ b/internal/transport/http1/malformed_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,17 +34,79 @@
 	golden.Check(t, "status_lines.golden", got.Bytes())
 }
 
+// fieldLines are lines of a head or of a trailer, most of which HTTP does not allow. The
+// names of the last ones are of fields that frame a body.
+var fieldLines = []string{
+	"X Y: v", "X : v", " X: v", "X\tY: v", "X\t: v", "X\x00: v", "\x1bX: v", "X\x7f: v", "X\rY: v", "X(: v", "\xc3\xa9: v", ": v", "X",
+	"X: a\x00b", "X: a\x7fb", "X: a\rb", "X: a\tb", "X: \xc3\xa9", "X: a\r\n b",
+	"Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked", "Attempt : 2",
+}
+
+// TestMalformedFields guards against clients that get an answer with a field whose name HTTP
+// does not allow, without that field or with a body that it does not frame as the upstream
+// meant. The fields stand in the answer's head, in that of an interim response or of an
+// answer to another request before it, or in its trailer.
+func TestMalformedFields(t *testing.T) {
+	var got bytes.Buffer
+	for _, line := range fieldLines {
+		head := "HTTP/1.1 200 OK\r\nAttempt: 1\r\n"
+		fmt.Fprintf(&got, "%q\n", line)
+		fmt.Fprintf(&got, "  head: %s\n", outcomesOf(t, head+"Content-Length: 4\r\n"+line+"\r\n\r\nbody"))
+		fmt.Fprintf(&got, "  head without length: %s\n", outcomesOf(t, head+line+"\r\n\r\n4\r\nbody\r\n0\r\n\r\n"))
+		fmt.Fprintf(&got, "  trailer: %s\n", outcomesOf(t, head+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+line+"\r\n\r\n"))
+		fmt.Fprintf(&got, "  interim head: pool %s\n", pooledOutcome(t, "HTTP/1.1 103 Early Hints\r\nA: b\r\n"+line+"\r\n\r\n"+okAnswer("1", "own")))
+		fmt.Fprintf(&got, "  skipped head: pool %s\n", pooledOutcome(t, "HTTP/1.1 200 OK\r\nAttempt: 9\r\nContent-Length: 4\r\n"+line+"\r\n\r\nbody"+okAnswer("1", "own")))
+	}
+	golden.Check(t, "fields.golden", got.Bytes())
+}
+
+// TestMalformedTrailerOfStreamedAnswer guards against a large answer that looks complete
+// although its trailer is malformed.
+func TestMalformedTrailerOfStreamedAnswer(t *testing.T) {
+	const size = maxBufferedAnswerBytes + 1000
+	for line, want := range map[string]error{"X Y: v": ErrAnswerMalformed, "X: v": nil} {
+		head := "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		rawAnswer := fmt.Sprintf("%s%x\r\n%s\r\n0\r\n%s\r\n\r\n", head, size, strings.Repeat("b", size), line)
+		// The upstream keeps the connection open for a second request.
+		u := newUpstream(t, answerEach(rawAnswer, ""))
+		p := newPool()
+		answer, err := do(t, p, u, newRequest("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, answer.Rest)
+		answer.Rest.Close()
+		if !errors.Is(err, want) || n != size {
+			t.Errorf("%q: got %d bytes and error %v, want %d and %v", line, n, err, size, want)
+		}
+		if pooled := p.getIdle("u") != nil; pooled != (want == nil) {
+			t.Errorf("%q: got the connection pooled %v, want %v", line, pooled, want == nil)
+		}
+	}
+}
+
 // outcomesOf returns what a pool and a Transport make of an upstream's raw answer.
 func outcomesOf(t *testing.T, rawAnswer string) string {
 	t.Helper()
-	u := newUpstream(t, answerEach(rawAnswer))
-	pooled := "no answer"
-	if answer, err := do(t, newPool(), u, newRequest("1")); err == nil {
-		pooled = fmt.Sprintf("%d %q", answer.Status, answer.Body)
-	} else if errors.Is(err, ErrAnswerMalformed) {
-		pooled = "malformed"
+	return fmt.Sprintf("pool %s, transport %s", pooledOutcome(t, rawAnswer), roundTrip(t, newUpstream(t, answerEach(rawAnswer))))
+}
+
+// pooledOutcome returns what a pool makes of an upstream's raw answer.
+func pooledOutcome(t *testing.T, rawAnswer string) string {
+	t.Helper()
+	answer, err := do(t, newPool(), newUpstream(t, answerEach(rawAnswer)), newRequest("1"))
+	return outcome(err, func() string { return fmt.Sprintf("%d %q", answer.Status, answer.Body) })
+}
+
+// outcome returns the text of an answer, or the kind of the error in its place.
+func outcome(err error, text func() string) string {
+	switch {
+	case errors.Is(err, ErrAnswerMalformed):
+		return "malformed"
+	case err != nil:
+		return "no answer"
 	}
-	return fmt.Sprintf("pool %s, transport %s", pooled, roundTrip(t, u))
+	return text()
 }
 
 // roundTrip returns what a Transport makes of an upstream's answer.
@@ -63,13 +126,7 @@
 		defer response.Body.Close()
 		body, err = io.ReadAll(response.Body)
 	}
-	switch {
-	case errors.Is(err, ErrAnswerMalformed):
-		return "malformed"
-	case err != nil:
-		return "no answer"
-	}
-	return fmt.Sprintf("%d %q", response.StatusCode, body)
+	return outcome(err, func() string { return fmt.Sprintf("%d %q", response.StatusCode, body) })
 }
 
 // TestConnectionOfMalformedAnswerIsClosed guards against a later request on a connection
