Take no late request behind another in a planned stop

What callers saw: in the second half of the time between SIGTERM and SIGKILL, a client sent a request behind one that was still running. It was taken and passed on, also if it must not be repeated; when the time was over, it was broken off at its upstream and answered 502.

Cause: the listener and idle connections close at half of the time, but a connection with a pending request went on reading: the request ahead of it had been read before SIGTERM, so that it was not marked as the last one.

Change: once the server stops, startRequest takes no request on a connection that has a pending one. The last pending answer says Connection: close, and what the client has sent behind it is discarded until then: clients send such requests again, whatever their kind. The client's disconnect is still noticed.

Test: edge TestStopTakesNoLateRequestBehindAnother. Before: the late GET and the late POST were at the upstream and got 502 host_stopping behind the first answer, which did not close the connection. After: it passes, as do the other tests of stops, and http1 under the race detector.

New connections and idle ones were closed at half of the time before.

--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -3,10 +3,13 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/platform/standin"
 )
 
@@ -97,3 +100,40 @@
 		t.Errorf("got %q, error %v, want %q", got, err, want)
 	}
 }
+
+// TestStopTakesNoLateRequestBehindAnother guards against requests that reach an upstream late
+// in a planned stop, and are broken off when the time to stop is over: a client sends them
+// behind a request that is still running.
+func TestStopTakesNoLateRequestBehindAnother(t *testing.T) {
+	const grace = 3 * time.Second
+	const sentAfter, workEnds = 1800 * time.Millisecond, 2200 * time.Millisecond
+	for method, path := range map[string]string{http.MethodGet: "/look/1", http.MethodPost: "/swap/1"} {
+		d := startDeployment(t, map[string]float64{"graceS": grace.Seconds()})
+		u := d.startUpstream("u", "d", 0)
+		d.awaitServing()
+		u.ServiceTime = workEnds
+		conn, err := net.Dial("tcp", d.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		request := func(method, path, attempt string) string {
+			return method + " " + path + " HTTP/1.1\r\nHost: " + testVirtualHost + "\r\n" + standin.AttemptLine(id.Attempt(attempt)) + "Content-Length: 0\r\n\r\n"
+		}
+		_, _ = io.WriteString(conn, request(http.MethodGet, "/look/1", "early"))
+		for d.host.clientServer.Active() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.AfterFunc(sentAfter, func() { _, _ = io.WriteString(conn, request(method, path, "late")) })
+		d.host.Stop()
+		answers, err := io.ReadAll(conn)
+		if got := string(answers); err != nil || !strings.HasPrefix(got, "HTTP/1.1 200 OK") || strings.Count(got, "HTTP/1.1") != 1 || !strings.Contains(got, "Connection: close") {
+			t.Errorf("%s: got %q, error %v, want one answer that ends the connection", method, got, err)
+		}
+		d.mu.Lock()
+		if slices.ContainsFunc(d.executions, func(e standin.Execution) bool { return e.Attempt == "late" }) {
+			t.Errorf("%s: got the late request at an upstream, want it left to the client", method)
+		}
+		d.mu.Unlock()
+	}
+}
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -35,7 +35,8 @@
 	pending int
 	// closing is set once the last answer is decided; no request is read after that.
 	closing bool
-	// lastAnswered is closed when the request that was read last is answered.
+	// lastAnswered is closed when the request that was read last is answered. The reading
+	// goroutine uses it.
 	lastAnswered chan struct{}
 }
 
@@ -87,11 +88,13 @@
 	return errors.Is(context.Cause(c.ctx), ErrClientDisconnected)
 }
 
-// startRequest counts an arriving request, unless no request may follow.
+// startRequest counts an arriving request, unless no request may follow. A stopping server
+// takes none behind a pending one: its time may be over before the request has ended, and
+// clients send requests again that were behind the last answer.
 func (c *serverConn) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || (c.pending > 0 && c.server.stopping.Load()) {
 		return false
 	}
 	c.pending++
@@ -132,6 +135,7 @@
 			return
 		}
 		if !c.startRequest() {
+			c.awaitAnswer(c.lastAnswered)
 			return
 		}
 		x, ok := c.readRequest()
@@ -139,7 +143,7 @@
 			return
 		}
 		if x.last || x.hasUnreadBody() {
-			c.awaitAnswer(x)
+			c.awaitAnswer(x.answered)
 			return
 		}
 	}
@@ -149,15 +153,15 @@
 func (x *exchange) hasUnreadBody() bool { return x.call.Rest != nil && !x.call.Rest.complete.Load() }
 
 // awaitAnswer waits until the last request is answered, and cancels its context if
-// the client disconnects before.
-func (c *serverConn) awaitAnswer(x *exchange) {
+// the client disconnects before. It discards what the client sends behind that request.
+func (c *serverConn) awaitAnswer(answered <-chan struct{}) {
 	watchDone := make(chan struct{})
 	_ = c.conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(watchDone)
 		c.server.guard.Run(taskConnection, c.discardInput)
 	}()
-	<-x.answered
+	<-answered
 	c.stopReading()
 	<-watchDone
 }
