Test that the own interface gives up answers without end

Reported by other operators: an upstream sends bytes without end in a head or a body, and the host that keeps them runs out of memory. The limits of answers hold here. http1 TestAnswerWithoutEndIsGivenUp showed it for the pool; the forwarder of the own interface had no test.

--- a/internal/transport/upstream/broken_answers_test.go
+++ b/internal/transport/upstream/broken_answers_test.go
@@ -112,3 +112,53 @@
 		t.Errorf("got %d of %d reset answers as complete ones, want none", complete, tries)
 	}
 }
+
+// TestAnswerWithoutEndIsGivenUp guards against a host that keeps what an upstream sends
+// without end, until its memory is used up.
+func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	// maxTaken is the host's limit of a head and what the sockets hold: their receive buffer
+	// grows to 6 MiB.
+	const maxTaken = 8 << 20
+	for name, raw := range map[string]struct{ prefix, repeated string }{
+		"status line":     {"HTTP/1.1 200 ", strings.Repeat("O", 1000)},
+		"header line":     {"HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 1000)},
+		"header lines":    {"HTTP/1.1 200 OK\r\n", strings.Repeat("X: y\r\n", 100)},
+		"interim heads":   {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 20)},
+		"no protocol":     {"", strings.Repeat("garbage ", 100)},
+		"chunk extension": {chunked + "5;", strings.Repeat("e", 1000)},
+		"trailer":         {chunked + "1\r\na\r\n0\r\n", strings.Repeat("T: y\r\n", 100)},
+	} {
+		sent := make(chan int, 1)
+		u := startServing(t, func(conn net.Conn) {
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
+			total := 0
+			for part := raw.prefix + raw.repeated; ; part = raw.repeated {
+				n, err := io.WriteString(conn, part)
+				if total += n; err != nil {
+					sent <- total
+					return
+				}
+			}
+		})
+		f := NewForwarder("h", 1, clock.System{})
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		response, err := f.Do(ctx, u, &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}, Idempotent: true, Remaining: 10 * time.Second})
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		if err == nil || ctx.Err() != nil {
+			t.Errorf("%s: got error %v, %v of the context, want an error before the deadline", name, err, ctx.Err())
+		}
+		if got := <-sent; got > maxTaken {
+			t.Errorf("%s: got %d bytes taken, want at most %d", name, got, maxTaken)
+		}
+		cancel()
+		f.Close()
+	}
+}
