Refuse answers that net/http frames otherwise than their upstream may mean

What callers saw, found by looking for the same cause in heads: a 200 with the chunks of its body as they were sent, where Transfer-Encoding stood in a line that begins with a blank, and so was joined to the line before, or in an answer of HTTP/1.0; and a field that held the next line. Transfer-Encoding beside Content-Length was taken, although readers do not agree on the end of such a body: with a body of the announced length, the client got no answer in time.

Cause: net/http repairs such heads, and its result shows no trace of that. Senders must not send them (RFC 9112, sections 5.2, 6.1 and 6.2).

Change: headScanner looks at the lines of each head as it is read from a dialedConn.

Tests, before: http1 TestContradictoryFraming (six heads taken in each place), TestMalformedFields (folded lines), upstream TestMalformedAnswerIsNoAnswer (three heads), edge TestBrokenAnswerReachesNoClient (200 for a folded line, no answer within 5 s for both framings). After: all pass.

--- a/internal/edge/broken_answers_test.go
+++ b/internal/edge/broken_answers_test.go
@@ -19,7 +19,7 @@
 var brokenAnswers = []standin.RawAnswer{
 	{Status: "000 Zero"}, {Status: "099 Low"}, {Status: "600 High"},
 	{Status: "200 OK", Line: "X Y: v"}, {Status: "200 OK", Line: "X : v"}, {Status: "200 OK", Line: "X\x01: v"}, {Status: "200 OK", Line: "X\tY: v"},
-	{Status: "200 OK", Line: "Transfer-Encoding : chunked"}, {Status: "503 Full", NotRun: true, Line: "X Y: v"},
+	{Status: "200 OK", Line: "Transfer-Encoding : chunked"}, {Status: "200 OK", Line: "X: y\r\n Z: v"}, {Status: "200 OK", Line: "Transfer-Encoding: chunked"}, {Status: "503 Full", NotRun: true, Line: "X Y: v"},
 }
 
 // TestBrokenAnswerReachesNoClient guards against clients that get an upstream's malformed
--- a/internal/transport/http1/answer.go
+++ b/internal/transport/http1/answer.go
@@ -125,6 +125,13 @@
 
 // readHead reads the head of the next final response and skips interim ones.
 func (c *poolConn) readHead(request *http.Request) (*http.Response, error) {
+	buffered, err := c.in.Peek(c.in.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.expectHead(buffered); err != nil {
+		return nil, err
+	}
 	for range maxInterimHeads {
 		response, err := http.ReadResponse(c.in, request)
 		if err != nil {
--- a/internal/transport/http1/bodywatch.go
+++ b/internal/transport/http1/bodywatch.go
@@ -24,7 +24,7 @@
 // called: it closes conn when its peer acknowledges nothing any more. Without information
 // on the connection, it changes nothing.
 func (p *Pool) watchBody(conn net.Conn) (stop func()) {
-	tcp, ok := tcpConn(conn)
+	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return func() {}
 	}
--- a/internal/transport/http1/conn.go
+++ b/internal/transport/http1/conn.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// Dialer makes connections on which the end of the stream is told from their failure.
+// Dialer makes the connections on which answers are read. Their reads tell the end of the
+// stream from a failure of the connection.
 type Dialer struct{ net.Dialer }
 
 // DialContext connects to an address; see net.Dialer.
@@ -19,10 +20,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &dialedConn{Conn: conn}, nil
+	return newDialedConn(conn), nil
 }
 
-// dialedConn is a connection to an upstream or to a service.
+// dialedConn is a connection to an upstream or to a service. Its reads report what the parser
+// of answers cannot see: that the connection failed, and what a headScanner finds.
 //
 // The kernel reports the failure of a connection, such as a reset, to one call only. After a
 // write that was told of it, a read returns io.EOF, as if the peer had closed the connection
@@ -33,6 +35,26 @@
 	writing sync.Mutex
 	// failure is the failure of the connection that a write was told of.
 	failure error
+	// mu protects scanner.
+	mu      sync.Mutex
+	scanner headScanner
+}
+
+// newDialedConn returns conn, as a dialedConn if it is none.
+func newDialedConn(conn net.Conn) *dialedConn {
+	if dialed, ok := conn.(*dialedConn); ok {
+		return dialed
+	}
+	return &dialedConn{Conn: conn}
+}
+
+// expectHead makes reads fail with ErrAnswerMalformed if the next head is malformed. It begins
+// with the bytes in buffered, which have been read already.
+func (c *dialedConn) expectHead(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanner.begin()
+	return c.scanner.scan(buffered)
 }
 
 // Write implements net.Conn.
@@ -49,9 +71,16 @@
 	return n, err
 }
 
-// Read implements net.Conn. It returns io.EOF only if the peer has closed its side.
+// Read implements net.Conn. It returns io.EOF only if the peer has closed its side, and fails
+// if an expected head is malformed.
 func (c *dialedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	malformed := c.scanner.scan(p[:n])
+	c.mu.Unlock()
+	if malformed != nil {
+		return 0, malformed
+	}
 	if errors.Is(err, io.EOF) {
 		if failure := c.writeFailure(); failure != nil {
 			err = failure
@@ -68,12 +97,3 @@
 	defer c.writing.Unlock()
 	return c.failure
 }
-
-// tcpConn returns the TCP connection that conn uses, if there is one.
-func tcpConn(conn net.Conn) (tcp *net.TCPConn, ok bool) {
-	if dialed, ok := conn.(*dialedConn); ok {
-		conn = dialed.Conn
-	}
-	tcp, ok = conn.(*net.TCPConn)
-	return tcp, ok
-}
--- a/internal/transport/http1/fuzz_test.go
+++ b/internal/transport/http1/fuzz_test.go
@@ -27,6 +27,9 @@
 	for _, line := range fieldLines {
 		f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt: 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n"))
 	}
+	for _, head := range framedHeads {
+		f.Add([]byte(head + "\r\n4\r\nbody\r\n0\r\n\r\n"))
+	}
 	f.Add([]byte(okAnswer("1", "body")))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + okAnswer("2", "foreign") + okAnswer("1", "own")))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/transport/http1/malformed_test.go
+++ b/internal/transport/http1/malformed_test.go
@@ -60,6 +60,41 @@
 	golden.Check(t, "fields.golden", got.Bytes())
 }
 
+// framedHeads are heads that state how long their body is more than once, or in a way that
+// their version does not know.
+var framedHeads = []string{
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4\r\nContent-Length: 5\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4, 5\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: +4\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4\r\nContent-Length: 4\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: gzip, chunked\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nX: y\r\n Transfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nX: y\r\n\tContent-Length: 4\r\n",
+	"HTTP/1.0 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\nAttempt: 1\nTransfer-Encoding: chunked\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nX: " + strings.Repeat("x", 2*readBufferBytes) + "\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\nAttempt: 1\r\nX: " + strings.Repeat("x", 2*readBufferBytes) + "\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+}
+
+// TestContradictoryFraming guards against clients that get a body that its upstream did not
+// send, because the head of the answer frames it in two ways. The answer is the first of its
+// connection, or follows an interim head or an answer to another request.
+func TestContradictoryFraming(t *testing.T) {
+	const body = "\r\n4\r\nbody\r\n0\r\n\r\n"
+	var got bytes.Buffer
+	for _, head := range framedHeads {
+		fmt.Fprintf(&got, "%.120q\n", head)
+		fmt.Fprintf(&got, "  first: %s\n", outcomesOf(t, head+body))
+		fmt.Fprintf(&got, "  after an interim head: %s\n", outcomesOf(t, "HTTP/1.1 103 Early Hints\r\n\r\n"+head+body))
+		fmt.Fprintf(&got, "  after another's answer: pool %s\n", pooledOutcome(t, okAnswer("9", "x")+head+body))
+	}
+	golden.Check(t, "framing.golden", got.Bytes())
+}
+
 // TestMalformedTrailerOfStreamedAnswer guards against a large answer that looks complete
 // although its trailer is malformed.
 func TestMalformedTrailerOfStreamedAnswer(t *testing.T) {
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -77,7 +77,7 @@
 
 // poolConn is one connection to an upstream.
 type poolConn struct {
-	net.Conn
+	*dialedConn
 	limit *limitReader
 	in    *bufio.Reader
 	clock clock.Clock
@@ -94,8 +94,9 @@
 }
 
 func (p *Pool) newConn(conn net.Conn) *poolConn {
-	limit := &limitReader{in: conn, err: ErrAnswerTooLarge}
-	return &poolConn{Conn: conn, limit: limit, in: bufio.NewReaderSize(limit, readBufferBytes), clock: p.clock, maxIdle: maxIdleAge}
+	dialed := newDialedConn(conn)
+	limit := &limitReader{in: dialed, err: ErrAnswerTooLarge}
+	return &poolConn{dialedConn: dialed, limit: limit, in: bufio.NewReaderSize(limit, readBufferBytes), clock: p.clock, maxIdle: maxIdleAge}
 }
 
 // Dialed returns the number of connections made so far.
--- a/internal/transport/http1/socket.go
+++ b/internal/transport/http1/socket.go
@@ -51,7 +51,7 @@
 // hasUnread reports whether bytes have arrived on a connection that were not read. It
 // does not observe the deadline of the connection.
 func hasUnread(conn net.Conn) bool {
-	tcp, ok := tcpConn(conn)
+	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return false
 	}
@@ -70,7 +70,7 @@
 
 // isIdle reports whether a connection is open and has nothing to read.
 func isIdle(conn net.Conn) bool {
-	tcp, ok := tcpConn(conn)
+	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return true
 	}
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -1,43 +1,11 @@
 package http1
 
 import (
-	"fmt"
 	"io"
 	"net/http"
-
-	"golang.org/x/net/http/httpguts"
-)
-
-// The status codes that HTTP defines (RFC 9110, section 15).
-const (
-	minStatus = 100
-	maxStatus = 599
+	"net/http/httptrace"
 )
 
-// checkHead returns an error that matches ErrAnswerMalformed if HTTP does not allow the head
-// of an answer. net/http takes any version, any three digits and names with blanks.
-func checkHead(response *http.Response) error {
-	if response.ProtoMajor != 1 {
-		return fmt.Errorf("%w: version %q", ErrAnswerMalformed, response.Proto)
-	}
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
-		return fmt.Errorf("%w: status %q", ErrAnswerMalformed, response.Status)
-	}
-	return checkFields(response.Header)
-}
-
-// checkFields returns an error that matches ErrAnswerMalformed if HTTP does not allow the name
-// of a field. net/http neither trims nor uses names with blanks, so that such a field may be
-// one that frames the body.
-func checkFields(fields http.Header) error {
-	for name := range fields {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: field name %q", ErrAnswerMalformed, name)
-		}
-	}
-	return nil
-}
-
 // checkedBody reads the body of an answer and checks its trailer.
 type checkedBody struct {
 	io.ReadCloser
@@ -68,7 +36,12 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(r)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*dialedConn); ok {
+			_ = conn.expectHead(nil)
+		}
+	}}
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/upstream/broken_answers_test.go
+++ b/internal/transport/upstream/broken_answers_test.go
@@ -62,6 +62,9 @@
 		"HTTP/1.1 200 OK\r\nX Y: v\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX\x01: v\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX: y\r\n Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 503 Full\r\nCelerypin-Not-Run: true\r\nX Y: v\r\nContent-Length: 0\r\n\r\n",
 	} {
 		for _, idempotent := range []bool{false, true} {
