--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -177,8 +177,7 @@
 	h.roster = roster.New(self, now)
 	h.pool = http1.NewPool(http1.NewDialer(dialTimeout), http1.DefaultAnswerLimits, c, h.guard)
 	h.store = platform.NewStore(s.Store, http1.NewTransport(http1.NewDialer(storeDialTimeout), &http.Transport{
-		MaxIdleConnsPerHost: 8, DisableCompression: true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxIdleConnsPerHost: 8, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}))
 	h.copies = newCopies(h.store, c, log.Part("store"), min(s.Bounds.ConfigApply, s.Bounds.Drain))
 	h.controller = newController(h, self, log.Part("control"))
--- a/internal/transport/http1/answer.go
+++ b/internal/transport/http1/answer.go
@@ -24,7 +24,7 @@
 	ErrAnswerTooSlow = errors.New("the upstream's answer is too slow")
 	// ErrAnswerForeign means that an answer is not, or may not be, this request's.
 	ErrAnswerForeign = errors.New("the answer belongs to another request")
-	// ErrAnswerMalformed means that HTTP does not allow what an upstream sent.
+	// ErrAnswerMalformed means that an answer is not valid HTTP/1.
 	ErrAnswerMalformed = errors.New("the upstream's answer is malformed")
 )
 
--- a/internal/transport/http1/conn.go
+++ b/internal/transport/http1/conn.go
@@ -10,8 +10,7 @@
 	"time"
 )
 
-// Dialer makes the connections on which answers are read. Their reads tell the end of the
-// stream from a failure of the connection.
+// Dialer makes the connections on which answers are read. See dialedConn.
 type Dialer struct{ net.Dialer }
 
 // DialContext connects to an address; see net.Dialer.
@@ -23,18 +22,18 @@
 	return newDialedConn(conn), nil
 }
 
-// dialedConn is a connection to an upstream or to a service. Its reads report what the parser
-// of answers cannot see: that the connection failed, and what a headScanner finds.
+// dialedConn is a connection to an upstream or to a service. Its reads detect what the parser
+// of answers cannot: a connection error that a write has consumed, and malformed heads.
 //
-// The kernel reports the failure of a connection, such as a reset, to one call only. After a
-// write that was told of it, a read returns io.EOF, as if the peer had closed the connection
-// in order. An answer without a length would then look complete.
+// The kernel reports a connection error, such as a reset, to one system call only. If a write
+// consumes it, later reads return io.EOF, as after an orderly close, and an answer without a
+// length looks complete.
 type dialedConn struct {
 	net.Conn
 	// writing is held during each write.
 	writing sync.Mutex
-	// failure is the failure of the connection that a write was told of.
-	failure error
+	// connError is the connection error that a write has consumed.
+	connError error
 	// mu protects scanner.
 	mu      sync.Mutex
 	scanner headScanner
@@ -63,16 +62,16 @@
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
 	var errno syscall.Errno
-	// EPIPE means that the connection had failed before, or that the peer had closed its
-	// side before the failure. In the latter case io.EOF is the end of the answer.
+	// EPIPE means that the error was consumed before, or that the peer had closed its side
+	// before the reset. In the latter case the answer is complete.
 	if errors.As(err, &errno) && errno != syscall.EPIPE {
-		c.failure = err
+		c.connError = err
 	}
 	return n, err
 }
 
-// Read implements net.Conn. It returns io.EOF only if the peer has closed its side, and fails
-// if an expected head is malformed.
+// Read implements net.Conn. It returns io.EOF only after an orderly close by the peer, and
+// fails if an expected head is malformed.
 func (c *dialedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -82,18 +81,18 @@
 		return 0, malformed
 	}
 	if errors.Is(err, io.EOF) {
-		if failure := c.writeFailure(); failure != nil {
-			err = failure
+		if connError := c.consumedError(); connError != nil {
+			err = connError
 		}
 	}
 	return n, err
 }
 
-// writeFailure returns the failure of the connection that a write was told of, or nil. It ends
-// a write in progress, whose peer sends nothing more.
-func (c *dialedConn) writeFailure() error {
+// consumedError returns the connection error that a write has consumed, or nil. It is called at
+// the end of the stream, and interrupts a write in progress: no answer can follow.
+func (c *dialedConn) consumedError() error {
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.failure
+	return c.connError
 }
--- a/internal/transport/http1/head.go
+++ b/internal/transport/http1/head.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
@@ -14,8 +16,9 @@
 	maxStatus = 599
 )
 
-// checkHead returns an error that matches ErrAnswerMalformed if HTTP does not allow the head
-// of an answer. net/http takes any version, any three digits and names with blanks.
+// checkHead returns an error that matches ErrAnswerMalformed for heads that net/http accepts
+// although they are not valid: it parses any version, any three-digit status, and field names
+// with blanks.
 func checkHead(response *http.Response) error {
 	if response.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %q", ErrAnswerMalformed, response.Proto)
@@ -26,9 +29,9 @@
 	return checkFields(response.Header)
 }
 
-// checkFields returns an error that matches ErrAnswerMalformed if HTTP does not allow the name
-// of a field. net/http neither trims nor uses names with blanks, so that such a field may be
-// one that frames the body.
+// checkFields returns an error that matches ErrAnswerMalformed if a field name is not a token.
+// net/http keeps names with blanks untrimmed and ignores them, even if they mean a field that
+// frames the body.
 func checkFields(fields http.Header) error {
 	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
@@ -38,14 +41,31 @@
 	return nil
 }
 
-// maxScannedLineBytes is how much of each line a headScanner looks at. It covers the status
-// code and the names of the fields that frame a body.
+// checkedBody is the body of an answer. It checks the trailer at the end.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkFields(b.response.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
+
+// maxScannedLineBytes is how much of each line a headScanner keeps: enough for the status code
+// and for the names of the fields that frame a body.
 const maxScannedLineBytes = 32
 
-// headScanner checks the bytes of heads for what net/http leaves no trace of: it joins folded
-// lines, drops Content-Length beside Transfer-Encoding, and ignores Transfer-Encoding in
-// HTTP/1.0. Senders must do none of these (RFC 9112, sections 5.2, 6.1 and 6.2), and recipients
-// do not agree on the end of such a body. The zero value scans nothing.
+// headScanner rejects raw heads that net/http repairs silently: it joins folded lines, drops
+// Content-Length beside Transfer-Encoding, and ignores Transfer-Encoding in HTTP/1.0. Senders
+// must not send any of these (RFC 9112, sections 5.2, 6.1 and 6.2), and recipients disagree on
+// where such a body ends. The zero value scans nothing.
 type headScanner struct {
 	// active is set from the beginning of a head to the end of the next final one.
 	active bool
@@ -58,7 +78,7 @@
 	hasLength, hasEncoding bool
 }
 
-// begin expects a head.
+// begin starts the scan of a head.
 func (s *headScanner) begin() { *s = headScanner{active: true, line: s.line[:0]} }
 
 // scan checks the next bytes. It ignores those behind a final head.
@@ -77,7 +97,7 @@
 	return nil
 }
 
-// endLine checks a line, of which long ones are cut off.
+// endLine checks a line, which is truncated to maxScannedLineBytes.
 func (s *headScanner) endLine(line []byte) error {
 	switch {
 	case !s.hasStatus:
--- a/internal/transport/http1/reset_test.go
+++ b/internal/transport/http1/reset_test.go
@@ -17,8 +17,8 @@
 // being written while its upstream does not read.
 const uploadSize = 16 << 20
 
-// resetTries is how often a test resets a connection: whether a read or a write is told of
-// the reset first is a matter of chance.
+// resetTries is how often a test resets a connection. It is a race whether a read or a write
+// consumes the error.
 const resetTries = 60
 
 // newUpload returns a request with a body that is written while the answer is awaited. With
@@ -57,8 +57,7 @@
 const headWithoutLength = "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n"
 
 // TestAnswerResetDuringUploadIsIncomplete guards against a part of an answer without length
-// that looks complete, because the write of the request's body is told of the reset and the
-// read of the answer is not.
+// that looks complete, because the write of the request's body consumes the error of the reset.
 func TestAnswerResetDuringUploadIsIncomplete(t *testing.T) {
 	u := answerUpload(t, headWithoutLength+"part", reset)
 	for _, streamed := range []bool{false, true} {
@@ -98,7 +97,7 @@
 	}
 	defer answer.Rest.Close()
 	<-closed
-	// The write of the upload is told of the reset.
+	// Lets the write of the upload consume the error.
 	time.Sleep(50 * time.Millisecond)
 	if n, err := io.Copy(io.Discard, answer.Rest); err == nil {
 		t.Errorf("got %d bytes as a complete answer, want an error", n)
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -35,8 +35,8 @@
 	pending int
 	// closing is set once the last answer is decided; no request is read after that.
 	closing bool
-	// lastAnswered is closed when the request that was read last is answered. The reading
-	// goroutine uses it.
+	// lastAnswered is closed when the request that was read last is answered. Only the
+	// reading goroutine uses the field.
 	lastAnswered chan struct{}
 }
 
@@ -89,8 +89,8 @@
 }
 
 // startRequest counts an arriving request, unless no request may follow. A stopping server
-// takes none behind a pending one: its time may be over before the request has ended, and
-// clients send requests again that were behind the last answer.
+// accepts none behind a pending one: it may not finish the request in time, and clients
+// resend requests that follow the last answer.
 func (c *serverConn) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/http1/transport.go
+++ b/internal/transport/http1/transport.go
@@ -1,30 +1,12 @@
 package http1
 
 import (
-	"io"
 	"net/http"
 	"net/http/httptrace"
 )
 
-// checkedBody reads the body of an answer and checks its trailer.
-type checkedBody struct {
-	io.ReadCloser
-	response *http.Response
-}
-
-// Read implements io.Reader.
-func (b *checkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		if malformed := checkFields(b.response.Trailer); malformed != nil {
-			err = malformed
-		}
-	}
-	return n, err
-}
-
-// Transport is an http.RoundTripper that fails with ErrAnswerMalformed where net/http takes
-// an answer that HTTP does not allow.
+// Transport is an http.RoundTripper that fails with ErrAnswerMalformed where net/http accepts
+// an invalid answer.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport that sends requests through base, on connections that
@@ -47,11 +29,12 @@
 	}
 	if err := checkHead(response); err != nil {
 		_ = response.Body.Close()
-		// The connection of an answer without a body is idle already.
+		// If the answer has no body, its connection is already idle.
 		t.CloseIdleConnections()
 		return nil, err
 	}
-	// Other answers have no trailer; the body of a switched protocol is also written to.
+	// Only chunked answers have a trailer. After a switch of protocols, the body must remain
+	// an io.Writer.
 	if len(response.TransferEncoding) > 0 {
 		response.Body = &checkedBody{response.Body, response}
 	}
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -43,9 +43,8 @@
 func New(base string, host id.Host, timeout time.Duration) *Client {
 	dialer := &http1.Dialer{Dialer: net.Dialer{Timeout: timeout}}
 	transport := http1.NewTransport(dialer, &http.Transport{
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     maxIdleAge,
-
+		MaxIdleConnsPerHost:    8,
+		IdleConnTimeout:        maxIdleAge,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	})
 	return &Client{base: base, host: host, timeout: timeout, http: &http.Client{Transport: transport}}
--- a/internal/transport/upstream/forward.go
+++ b/internal/transport/upstream/forward.go
@@ -102,8 +102,7 @@
 	dialer := &http1.Dialer{Dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: maxIdleAge}}
 	transport := func() *http1.Transport {
 		return http1.NewTransport(dialer, &http.Transport{
-			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: maxIdleAge,
-			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: maxIdleAge, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		})
 	}
 	f := &Forwarder{pooled: transport(), unpooled: transport(), clock: c, host: host, exchangePrefix: string(host) + "-" + inc.String() + "-"}
