Take requests behind an answer that is already written in a planned stop

What callers would have seen, since: a request whose bytes had arrived when the host began to close was dropped without an answer, if it came right after the answer to the one before. That answer had not closed the connection.

Cause: a request counts as pending until its answer is written and noted, some microseconds after the client has the answer. startRequest took that for a request that is still running.

Change: the server refuses a request only behind one whose answer is not decided, as that answer will announce the end of the connection.

Test: TestStoppingServerTakesNoRequestBehindAnUndecidedOne, failed before.

--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -33,6 +33,9 @@
 	mu sync.Mutex
 	// pending counts the requests that have begun to arrive and are unanswered.
 	pending int
+	// undecided counts those of which closesAfter has not been called. The last of their
+	// answers can still announce that the connection closes.
+	undecided int
 	// closing is set once the last answer is decided; no request is read after that.
 	closing bool
 	// lastAnswered is closed when the request that was read last is answered. Only the
@@ -89,15 +92,16 @@
 }
 
 // startRequest counts an arriving request, unless no request may follow. A stopping server
-// accepts none behind a pending one: it may not finish the request in time, and clients
-// resend requests that follow the last answer.
+// accepts none behind an undecided one: it may not finish the request in time, and clients
+// resend requests that follow an answer that closes the connection.
 func (c *serverConn) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || (c.pending > 0 && c.server.stopping.Load()) {
+	if c.closing || (c.undecided > 0 && c.server.stopping.Load()) {
 		return false
 	}
 	c.pending++
+	c.undecided++
 	return true
 }
 
@@ -118,6 +122,7 @@
 func (c *serverConn) closesAfter(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.undecided--
 	if x.last || x.hasUnreadBody() || (c.server.draining.Load() && c.pending == 1) {
 		c.closing = true
 	}
--- a/internal/transport/http1/stop_test.go
+++ b/internal/transport/http1/stop_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"celerypin.example/celerypin/pkg/state/clock"
 )
 
 // answerTimeout is the time for the answers of calls that the tests cancel.
@@ -109,3 +111,28 @@
 		t.Errorf("got %d of %d requests cut off without an answer, want none", cut, stops*clients)
 	}
 }
+
+// TestStoppingServerTakesNoRequestBehindAnUndecidedOne guards against two faults: a stopping
+// server that takes a request which it may not finish, and one that drops a request although
+// the answer before it, which is written but still counts as pending, did not close the
+// connection.
+func TestStoppingServerTakesNoRequestBehindAnUndecidedOne(t *testing.T) {
+	for _, decided := range []bool{false, true} {
+		s := NewServer(nil, func() Limits { return testLimits }, clock.System{}, newGuard())
+		c := newServerConn(s, nil)
+		if !c.startRequest() {
+			t.Fatal("got the first request refused, want it taken")
+		}
+		if decided && c.closesAfter(&exchange{call: &Call{}}) {
+			t.Fatal("got an answer that closes the connection, want it open")
+		}
+		s.draining.Store(true)
+		s.stopping.Store(true)
+		if got, want := c.startRequest(), decided; got != want {
+			t.Errorf("answer decided %v: got the next request taken %v, want %v", decided, got, want)
+		}
+		if !decided && !c.closesAfter(&exchange{call: &Call{}}) {
+			t.Error("got the last answer without the end of the connection, want it announced")
+		}
+	}
+}
