Keep the answer of an upstream that closes before an upload has ended

What callers saw: an upstream answered an upload of over 512 KiB without reading it to its end, closed its side of the connection, and then reset it because of the unread rest. The client got 502 in place of the whole answer.

Cause: writeBody closed the connection whenever the copy of the client's body ended with an error, also if it was the write to the upstream that failed. The read of the answer, which had arrived, then failed with a closed connection.

Change: the connection is closed only if the client's body fails, because only then could the upstream take what has arrived for a complete request. After a failed write it is left to the read of the answer, and closed after that.

--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -310,6 +310,19 @@
 	return b.Bytes()
 }
 
+// sourceReader notes whether a read failed, which tells the errors of both sides of a copy
+// apart.
+type sourceReader struct {
+	in     io.Reader
+	failed bool
+}
+
+func (s *sourceReader) Read(p []byte) (int, error) {
+	n, err := s.in.Read(p)
+	s.failed = s.failed || err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
+
 // writeBody writes Body and Rest, in chunks if the length is unknown.
 func (r *Request) writeBody(conn net.Conn) error {
 	var w io.Writer = conn
@@ -320,10 +333,13 @@
 		return err
 	}
 	if r.Rest != nil {
-		if _, err := io.Copy(w, r.Rest); err != nil {
-			// The client stopped sending; the upstream must not take what arrived
-			// for a complete request.
-			_ = conn.Close()
+		rest := &sourceReader{in: r.Rest}
+		if _, err := io.Copy(w, rest); err != nil {
+			if rest.failed {
+				// The client stopped sending; the upstream must not take what arrived
+				// for a complete request.
+				_ = conn.Close()
+			}
 			return err
 		}
 	}
