Test of a streamed answer: reset only after the answer has begun

Cause: the test was wrong. Its upstream reset the connection 5 ms after it had sent the answer; on a busy machine the host had not read the first MiB by then, and failed the exchange, as it must. The test took that for a failure.

Change: the upstream waits until the exchange has returned the streamed answer. The check is the same.

--- a/internal/transport/http1/reset_test.go
+++ b/internal/transport/http1/reset_test.go
@@ -82,8 +82,9 @@
 // while it arrives. The client reads it after the reset.
 func TestStreamedAnswerResetDuringUploadIsIncomplete(t *testing.T) {
 	const size = maxBufferedAnswerBytes + 1000
-	closed := make(chan struct{})
+	buffered, closed := make(chan struct{}), make(chan struct{})
 	u := answerUpload(t, headWithoutLength+strings.Repeat("b", size), func(conn *net.TCPConn) {
+		<-buffered
 		reset(conn)
 		_ = conn.Close()
 		close(closed)
@@ -92,6 +93,8 @@
 	r, cancel := newUpload(false)
 	defer cancel()
 	answer, err := do(t, p, u, r)
+	// Before that, the reset would end the exchange with an error.
+	close(buffered)
 	if err != nil {
 		t.Fatal(err)
 	}
