Count a full listing as a change, so that it confirms no older copy

What callers saw: the host that reads the store for its region is killed and is back after 0.5 s. A worker's entry is removed meanwhile.

Cause: a listing shows no trace of a row that was deleted before it. ApplyListing into the restarted reader's empty copy set LastChange to the highest version among the rows that still exist, below that of the deletion. A follower whose copy was older than the deletion, but not older than LastChange, took itself for complete as of the reader's version. It neither read the store nor got rows relayed, and its next read began after the deletion.

The same occurred without a restart, if the store had compacted its history: the running reader lists the table, and a row that was written and deleted after the reader's last version, and that a follower has read itself, leaves no trace either.

Change: after a listing, LastChange is at least the version of the listing. A follower whose copy is older is not confirmed. It gets the listing relayed, or reads the changes since its own version once its copy is stale. Versions that come from reads of changes carry deletions and stay as they are.

Evidence: TestConfirmedCopyIsComplete (random steps of a reader that restarts and a follower) and TestListingReaderDoesNotConfirmRemovedUpstream (restart, and compacted history) failed before: the follower's copy was reported as fresh and kept the removed row.

--- a/internal/edge/copies_test.go
+++ b/internal/edge/copies_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/mirror"
 	"celerypin.example/celerypin/platform"
+	"celerypin.example/celerypin/platform/standin"
 )
 
 // TestCopyWithLatestChangeIsFresh guards against hosts that all read for
@@ -39,3 +43,62 @@
 		t.Errorf("got the copy complete as of %d, want %d", got, want)
 	}
 }
+
+// TestListingReaderDoesNotConfirmRemovedUpstream guards against requests to an upstream
+// whose row was removed while the reader did not hear changes: the reader's listing shows no
+// trace of the row, and the reader's digest made a follower keep its copy of the row.
+func TestListingReaderDoesNotConfirmRemovedUpstream(t *testing.T) {
+	const removed = "u"
+	// Each case returns the reader and a follower that holds the removed row.
+	cases := map[string]func(store *standin.Store, start func() *copies) (reader, follower *copies){
+		"reader restarts": func(store *standin.Store, start func() *copies) (reader, follower *copies) {
+			store.PutUpstream(removed, nil)
+			follower = start()
+			store.Delete(string(platform.Upstreams), removed)
+			return start(), follower
+		},
+		"history is compacted": func(store *standin.Store, start func() *copies) (reader, follower *copies) {
+			reader = start()
+			store.PutUpstream(removed, nil)
+			follower = start()
+			store.Delete(string(platform.Upstreams), removed)
+			store.Compact()
+			readUpstreams(t, reader)
+			return reader, follower
+		},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			store := standin.NewStore()
+			store.PutUpstream("other", nil)
+			server := httptest.NewServer(store.Handler("a"))
+			defer server.Close()
+			now := clock.NewFake()
+			start := func() *copies {
+				c := newCopies(platform.NewStore(server.Listener.Addr().String(), http.DefaultTransport), now, logging.Discard(), 2*time.Second)
+				readUpstreams(t, c)
+				return c
+			}
+			reader, follower := prepare(store, start)
+			now.Advance(10 * time.Second)
+			readUpstreams(t, reader)
+			complete, changed := reader.versions()
+			follower.confirm(&roster.Digest{Versions: complete, LastChange: changed, CopyAges: reader.ages(now.Now())}, now.Now())
+			copied := follower.tables[platform.Upstreams]
+			if got, want := follower.ages(now.Now())[string(platform.Upstreams)], 10*time.Second; got != want {
+				t.Errorf("got a copy of age %v, want the age since its last read: %v", got, want)
+			}
+			readUpstreams(t, follower)
+			if got := copied.Get(removed); got.Version > 0 {
+				t.Errorf("got the removed row at version %d, want none", got.Version)
+			}
+		})
+	}
+}
+
+func readUpstreams(t *testing.T, c *copies) {
+	t.Helper()
+	if _, err := c.read(context.Background(), platform.Upstreams, c.tables[platform.Upstreams]); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/pkg/coordination/roster/roster.go
+++ b/pkg/coordination/roster/roster.go
@@ -36,7 +36,8 @@
 	// Versions are the versions up to which the host's copies of the tables are
 	// complete, by table.
 	Versions map[string]mirror.Version
-	// LastChange is the version of the last change of each table.
+	// LastChange is the version as of which a copy of each table must be complete to have all
+	// changes up to Versions; see mirror.Table.
 	LastChange map[string]mirror.Version
 	// CopyAges are the times since the copies were last known to be complete.
 	CopyAges map[string]time.Duration
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -29,7 +29,8 @@
 	mu      sync.Mutex
 	rows    map[string]Row
 	version Version
-	// lastChange is the version of the last change of a row.
+	// lastChange is at least the version of the last change of a row up to version. A full
+	// listing shows no deletions, so it counts as a change.
 	lastChange Version
 	// listed is the version of the last full listing. Rows deleted before it may be
 	// missing from rows instead of being marked as deleted.
@@ -46,7 +47,9 @@
 	return t.version
 }
 
-// LastChange returns the version of the last change that the copy reflects.
+// LastChange returns the version as of which another copy must be complete to have all the
+// changes that this one reflects: that of the last change of a row or, if it is higher, of
+// the last full listing.
 func (t *Table) LastChange() Version {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,10 +98,11 @@
 		if !listed[key] && !r.Deleted && r.Version <= version {
 			r.Deleted, r.Value, r.Version = true, nil, version
 			t.rows[key] = r
-			t.lastChange = max(t.lastChange, version)
 			changed = append(changed, r)
 		}
 	}
+	// Rows that this copy never held may have been deleted since its last version.
+	t.lastChange = max(t.lastChange, version)
 	t.version, t.listed = version, version
 	return changed
 }
--- a/pkg/state/mirror/mirror_test.go
+++ b/pkg/state/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -65,6 +66,38 @@
 	})
 }
 
+// TestConfirmedCopyIsComplete guards against a follower that keeps a deleted row because a
+// reader that restarted after the deletion confirms the follower's copy. The reader's
+// process may restart at any time, and then lists the table into an empty copy.
+func TestConfirmedCopyIsComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, reader, follower := New(), New(), New()
+		var version Version
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				version++
+				key := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key"))
+				row := Row{Key: key, Value: []byte{byte(version)}, Version: version, Deleted: rapid.Bool().Draw(t, "deleted")}
+				store.Apply([]Row{row}, version-1, version)
+			case 2:
+				reader.ApplyChanges(store.ChangesSince(reader.Version()))
+			case 3:
+				reader = New()
+				reader.ApplyListing(slices.Collect(maps.Values(store.Rows())), store.Version())
+			case 4:
+				follower.ApplyChanges(store.ChangesSince(follower.Version()))
+			case 5:
+				follower.Confirm(reader.LastChange(), reader.Version())
+			}
+		}
+		follower.ApplyChanges(store.ChangesSince(follower.Version()))
+		if got, want := rowsOf(follower), rowsOf(store); !maps.Equal(got, want) {
+			t.Fatalf("got rows %v, want those of the store: %v", got, want)
+		}
+	})
+}
+
 // TestListingRelaysDeletion relays to a copy that holds a deleted row, from a copy
 // whose full listing came after the deletion and that never held the row.
 func TestListingRelaysDeletion(t *testing.T) {
