Refuse requests with malformed fields or contradictory framing

What callers saw: a body was handled as a request of its own, on the platform's interface, behind a head with a blank in the name of a framing field, a framing field in a folded line, or Transfer-Encoding in HTTP/1.0. Heads with Transfer-Encoding beside Content-Length were taken as chunked.

Cause: http.ReadRequest accepts such heads: it keeps names with blanks and ignores them, joins folded lines and drops the contradicting field.

Change: the scanner of answers' heads also scans the heads of requests. A malformed one gets 400 and closes the connection.

--- a/internal/transport/http1/conn.go
+++ b/internal/transport/http1/conn.go
@@ -52,7 +52,7 @@
 func (c *dialedConn) expectHead(buffered []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.begin()
+	c.scanner.begin(ErrAnswerMalformed)
 	return c.scanner.scan(buffered)
 }
 
--- a/internal/transport/http1/malformed_test.go
+++ b/internal/transport/http1/malformed_test.go
@@ -1,12 +1,14 @@
 package http1
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -188,3 +190,55 @@
 		}
 	}
 }
+
+// requestHeads are heads of requests. Those that HTTP does not allow make recipients disagree
+// on whether what follows belongs to the body.
+var requestHeads = []string{
+	"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length : %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nContent Length: %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\n Content-Length: %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nX: y\r\n\tContent-Length: %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length\x00: %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %[1]d\r\nContent-Length: 0\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: +%d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\ncontent-length: %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\nX: %d\r\n",
+	"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: identity\r\nX: %d\r\n",
+	"POST /a HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nX: %d\r\n",
+	"POST 100 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n",
+	"GET /a HTTP/1.1\r\nHost: a\r\nX: %d\r\n",
+}
+
+// TestMalformedRequestsHideNoOther guards against a body that is handled as a request of its
+// own, because the field that frames it is malformed and was ignored.
+func TestMalformedRequestsHideNoOther(t *testing.T) {
+	handled := make(chan string, 10)
+	s := startServer(t, func(_ context.Context, c *Call) Reply {
+		handled <- fmt.Sprintf("%s %s %q", c.Request.Method, c.Request.URL.Path, c.Body)
+		return textReply("")
+	})
+	const hidden, last = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n", "GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+	var got bytes.Buffer
+	for _, head := range requestHeads {
+		// The head arrives on its own or behind another request.
+		for _, before := range []string{"", "GET /before HTTP/1.1\r\nHost: a\r\n\r\n"} {
+			conn := s.dial(t)
+			_, _ = io.WriteString(conn, before+fmt.Sprintf(head, len(hidden))+"\r\n"+hidden+last)
+			in := bufio.NewReader(conn)
+			var statuses []int
+			for response, err := http.ReadResponse(in, nil); err == nil; response, err = http.ReadResponse(in, nil) {
+				statuses = append(statuses, response.StatusCode)
+				_, _ = io.Copy(io.Discard, response.Body)
+			}
+			var requests []string
+			for len(handled) > 0 {
+				requests = append(requests, <-handled)
+			}
+			slices.Sort(requests)
+			fmt.Fprintf(&got, "%q, behind another: %v\n  statuses %v, handled %s\n", head, before != "", statuses, requests)
+		}
+	}
+	golden.Check(t, "requests.golden", got.Bytes())
+}
--- a/internal/transport/http1/serverconn.go
+++ b/internal/transport/http1/serverconn.go
@@ -20,6 +20,7 @@
 type serverConn struct {
 	server  *Server
 	conn    net.Conn
+	head    *headReader
 	limit   *limitReader
 	in      *bufio.Reader
 	out     *bufio.Writer
@@ -55,7 +56,8 @@
 
 func newServerConn(s *Server, conn net.Conn) *serverConn {
 	c := &serverConn{server: s, conn: conn, queue: make(chan *exchange, pipelineDepth)}
-	c.limit = &limitReader{in: conn, err: errHeadTooLarge}
+	c.head = &headReader{in: conn}
+	c.limit = &limitReader{in: c.head, err: errHeadTooLarge}
 	c.in = bufio.NewReaderSize(c.limit, 4<<10)
 	c.out = bufio.NewWriterSize(conn, 4<<10)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
@@ -232,7 +234,7 @@
 	limits := c.server.limits()
 	c.limit.setLimit(int64(limits.HeaderBytes) + maxReadAheadBytes)
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	request, err := http.ReadRequest(c.in)
+	request, err := c.readHead()
 	c.limit.setLimit(noLimit)
 	if err != nil {
 		c.rejectMalformed(err)
@@ -261,6 +263,22 @@
 	return x, true
 }
 
+// readHead reads and checks the head of a request.
+func (c *serverConn) readHead() (*http.Request, error) {
+	buffered, err := c.in.Peek(c.in.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.head.expect(buffered); err != nil {
+		return nil, err
+	}
+	request, err := http.ReadRequest(c.in)
+	if err != nil {
+		return nil, err
+	}
+	return request, checkRequest(request, &c.head.scanner)
+}
+
 const (
 	// maxReadAheadBytes limits what buffering may read beyond the end of a head.
 	maxReadAheadBytes = 8 << 10
--- a/internal/transport/http1/stream.go
+++ b/internal/transport/http1/stream.go
@@ -35,6 +35,28 @@
 	return n, err
 }
 
+// headReader fails with errRequestMalformed if the head of an expected request is malformed.
+type headReader struct {
+	in      io.Reader
+	scanner headScanner
+}
+
+// expect starts the scan of a head that begins with the bytes in buffered, which have been
+// read already.
+func (r *headReader) expect(buffered []byte) error {
+	r.scanner.begin(errRequestMalformed)
+	return r.scanner.scan(buffered)
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	n, err := r.in.Read(p)
+	if malformed := r.scanner.scan(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
 // ErrBodyClosed is returned by reads of a body that was closed before it was complete.
 var ErrBodyClosed = errors.New("the body was closed")
 
