Refuse late requests that may outlast a planned stop

Cause: the first half of the grace time takes all requests.

Change: a request that arrives later than 3 s after SIGTERM and whose deadline lies behind the end of the stop is answered with 503, which says that it has not run, and a delay of about 100 ms; the connection closes. Others are served as before. With a grace time of 6 s or less nothing changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -120,6 +120,8 @@
 	failing atomic.Bool
 	// leaving is set when Stop begins.
 	leaving atomic.Bool
+	// stop is set when Stop begins; nil before that.
+	stop atomic.Pointer[stopTimes]
 
 	// state holds the desired state in force, or nil until the first is known. The loop
 	// stores it after it has divided its quotas.
@@ -185,7 +187,7 @@
 	h.copies.onRead = h.controller.relayToRegion
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
-		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Current: h.controller.current, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
+		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Current: h.controller.current, Accepts: h.accepts, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
 		Sender: &sender{pool: h.pool, clock: c, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
 		Meter:        h.usage.requestMeter(),
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celerypin.example/celerypin/pkg/coordination/steer"
+	"celerypin.example/celerypin/pkg/state/clock"
 )
 
 // finishTime returns how long running requests may take after SIGTERM, given the time
@@ -18,11 +19,30 @@
 	return min(stopAnswerTimeout, time.Duration(stopAnswerFraction*float64(grace-finishTime(grace))))
 }
 
+// lateAfter is the time after SIGTERM in which clients may still send requests to the
+// host, because they have not learned that it leaves. A request that arrives later and may
+// last longer than the host is refused, and the client sends it to another host at once.
+const lateAfter = 3 * time.Second
+
+// stopTimes are the instants of a stop.
+type stopTimes struct {
+	// lateFrom is the instant from which requests are late, finishAt the instant at which
+	// running requests are cancelled.
+	lateFrom, finishAt clock.Instant
+}
+
+// accepts implements the Accepts of steer.Dependencies.
+func (h *Host) accepts(arrived, deadline clock.Instant) bool {
+	stop := h.stop.Load()
+	return stop == nil || arrived < stop.lateFrom || deadline <= stop.finishAt
+}
+
 // Stop shuts the host down gracefully, within the time between SIGTERM and SIGKILL.
 func (h *Host) Stop() {
 	grace := h.settings.Load().Bounds.Grace
 	startedAt := h.clock.Now()
 	h.leaving.Store(true)
+	h.stop.Store(&stopTimes{lateFrom: startedAt.Add(lateAfter), finishAt: startedAt.Add(finishTime(grace))})
 	h.clientServer.Drain()
 	h.controller.wake()
 	h.log.With("requests", h.clientServer.Active()).Info("Stopping.")
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -137,3 +137,50 @@
 		d.mu.Unlock()
 	}
 }
+
+// TestStopRefusesLateRequestThatMayOutlastIt guards against requests that arrive late in a long
+// grace time and are broken off at its end, although their upstream is at work on them. A
+// request that ends in time by its own deadline is still served.
+func TestStopRefusesLateRequestThatMayOutlastIt(t *testing.T) {
+	const grace, sentAfter, work = 8 * time.Second, 3300 * time.Millisecond, 5 * time.Second
+	d := startDeployment(t, map[string]float64{"graceS": grace.Seconds()})
+	u := d.startUpstream("u", "d", 0)
+	d.awaitServing()
+	stopped := make(chan struct{})
+	go func() {
+		d.host.Stop()
+		close(stopped)
+	}()
+	time.Sleep(sentAfter)
+	send := func(remaining time.Duration, path string) string {
+		conn, err := net.Dial("tcp", d.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: "+testVirtualHost+"\r\n"+standin.AttemptLine(id.Attempt(path))+standin.RemainingLine(remaining)+"Content-Length: 4\r\n\r\nswap")
+		answer, err := io.ReadAll(conn)
+		if err != nil {
+			t.Errorf("%s: got error %v, want an answer", path, err)
+		}
+		return string(answer)
+	}
+	if got, want := send(1500*time.Millisecond, "/swap/short"), "HTTP/1.1 200 OK\r\n"; !strings.HasPrefix(got, want) {
+		t.Errorf("request that ends in time: got %q, want %q", got, want)
+	}
+	u.ServiceTime = work
+	sentAt := time.Now()
+	got := send(grace, "/swap/long")
+	if want := "HTTP/1.1 503 Service Unavailable\r\n"; !strings.HasPrefix(got, want) || !strings.Contains(got, "Connection: close") || !strings.Contains(got, "Retry-After: ") {
+		t.Errorf("request that may outlast the stop: got %q, want %q with Retry-After, which ends the connection", got, want)
+	}
+	if took := time.Since(sentAt); took > work/2 {
+		t.Errorf("request that may outlast the stop: got the answer after %v, want it at once", took)
+	}
+	<-stopped
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slices.ContainsFunc(d.executions, func(e standin.Execution) bool { return e.Attempt == "/swap/long" }) {
+		t.Error("request that may outlast the stop: got it at an upstream, want it left to the client")
+	}
+}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -210,7 +210,7 @@
 	h.shares = quota.New(quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, m.now)
 	splits := release.NewSplits()
 	h.Steerer = steer.New(steer.Dependencies[struct{}]{
-		State: rcu.New(m.state), Shares: h.shares, Draw: steer.NoPool, Current: steer.AlwaysCurrent, Placer: h.placer, Splits: splits, Recorder: release.NewRecorder(splits),
+		State: rcu.New(m.state), Shares: h.shares, Draw: steer.NoPool, Current: steer.AlwaysCurrent, Accepts: steer.AcceptsAll, Placer: h.placer, Splits: splits, Recorder: release.NewRecorder(splits),
 		Approved: func(id.Service) id.Release { return currentRelease },
 		Sender:   &sender{m, h}, Clock: m.simulation, Random: m.rng, RetryRatio: retryRatio, RetryReserve: retryReserve,
 		Hedging: steer.Hedging[struct{}]{Hedger: hedge.New(hedged), Runner: m.simulation, Discard: func(struct{}) {}},
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -200,7 +200,10 @@
 	Draw func(ctx context.Context, account id.Account) (ok bool, delay time.Duration)
 	// Current reports whether the snapshots that requests read are kept up to date. They
 	// are not just after this process was paused: what they permit may have run out.
-	Current  func(now clock.Instant) bool
+	Current func(now clock.Instant) bool
+	// Accepts reports whether this host takes a request that arrived and may last until
+	// these instants. A host that stops takes none that it would have to break off.
+	Accepts  func(arrived, deadline clock.Instant) bool
 	Placer   *place.Placer
 	Splits   *release.Splits
 	Recorder *release.Recorder
@@ -270,6 +273,9 @@
 // AlwaysCurrent is the Current of a host that is never paused.
 func AlwaysCurrent(clock.Instant) bool { return true }
 
+// AcceptsAll is the Accepts of a host that never stops.
+func AcceptsAll(_, _ clock.Instant) bool { return true }
+
 // Serve decides on one request and sends it to upstreams as decided.
 func (s *Steerer[A]) Serve(ctx context.Context, r *Request) Decision[A] {
 	state := *s.State.Load()
@@ -291,6 +297,11 @@
 		decision.Outcome, decision.Reason = UnknownKey, ReasonKey
 		return decision
 	}
+	deadline := r.Arrived.Add(timeoutOf(route, r))
+	if !s.Accepts(r.Arrived, deadline) {
+		decision.Outcome, decision.Reason, decision.RetryAfter = Refused, ReasonStopping, s.jitter(stoppingRetryDelay)
+		return decision
+	}
 	if account != nil {
 		decision.Account = account.ID
 		if ok, delay := s.admit(ctx, account.ID); !ok {
@@ -299,8 +310,7 @@
 			return decision
 		}
 	}
-	d := &dispatch[A]{Steerer: s, request: r, state: state, route: route, account: account, decision: decision}
-	d.deadline = r.Arrived.Add(timeoutOf(route, r))
+	d := &dispatch[A]{Steerer: s, request: r, state: state, route: route, account: account, decision: decision, deadline: deadline}
 	return d.execute(ctx)
 }
 
--- a/pkg/coordination/steer/steer_test.go
+++ b/pkg/coordination/steer/steer_test.go
@@ -101,7 +101,7 @@
 	splits := release.NewSplits()
 	sender := &scriptedSender{clock: c, script: script, latency: 20 * time.Millisecond}
 	return &fixture{sender: sender, clock: c, Steerer: New(Dependencies[string]{
-		State: rcu.New(s), Draw: NoPool, Current: AlwaysCurrent, Shares: shares, Placer: placer, Splits: splits, Recorder: release.NewRecorder(splits),
+		State: rcu.New(s), Draw: NoPool, Current: AlwaysCurrent, Accepts: AcceptsAll, Shares: shares, Placer: placer, Splits: splits, Recorder: release.NewRecorder(splits),
 		Approved: func(id.Service) id.Release { return "v1" }, Sender: sender, Clock: c, Random: SystemRandom{}, RetryRatio: 0.2, RetryReserve: 5,
 	})}
 }
