Close connections of HTTP/1.0 on the own interface after an answer

What callers saw: on the own interface, chunks in a request of HTTP/1.0 with keep-alive were handled as a request of their own.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and reads on behind the head.

Change: the connection closes with the answer to such a request. HTTP/1.0 defines no Transfer-Encoding, so what follows the head cannot be told apart from another request.

Evidence: TestBodyOfOldRequestHidesNoOther failed before, with /hidden handled.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,7 +143,7 @@
 		Claims: h.claims, Forwarder: h.forwarder, Clock: h.clock, Log: log.Part("caller"), Metrics: h.metrics,
 	})
 	h.hostServer = &http.Server{Handler: h.hostRoutes(), ReadHeaderTimeout: headerTimeout}
-	h.callerServer = &http.Server{Handler: h.callerRoutes(log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.callerServer = &http.Server{Handler: caller.CloseOldConnections(h.callerRoutes(log)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 func (h *Host) hostRoutes() http.Handler {
