Give each operator's change an id of its own

Cause: the id of a change was its row's key with the reading of the clock in nanoseconds. commit.Write takes a conflicting row with the same id for the effect of its own earlier attempt, so of two changes with the same reading both succeed. By reading, there is no other way to a second success. Six goroutines that read the clock together got the same nanosecond in 3 of 100,000 rounds.

Change: the id is random. Other ids of operations hold the host, its incarnation and a sequence, and do not repeat.

Evidence: TestChangesAtTheSameInstantConflict failed before: the second change was confirmed.

--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/subtle"
 	"errors"
 	"fmt"
@@ -159,7 +160,8 @@
 func (s *Server) commitRow(r *http.Request, row table.Row, base table.Revision, extra ...table.Row) (table.Revision, error) {
 	ctx, cancel := context.WithTimeout(r.Context(), commitTimeout)
 	defer cancel()
-	row.Operation = id.Operation(fmt.Sprintf("operator/%s/%d", row.Key, s.Clock.Wall().UnixNano()))
+	// commit.Write takes a row with the same id for its own, so ids must not depend on the clock.
+	row.Operation = id.Operation(fmt.Sprintf("operator/%s/%s", row.Key, rand.Text()))
 	txn := table.Txn{
 		Operation: row.Operation, Conditions: []table.Condition{{Key: row.Key, Revision: base}},
 		Puts: append([]table.Row{row}, extra...), Deletes: s.excessHistory(len(extra)),
