--- /dev/null
+++ b/review/_standin-3/worker.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// worker is a stand-in of a worker: it registers, sends heartbeats and serves requests.
+type worker struct {
+	id, service, zone, address string
+	slots                      int
+	workTime                   time.Duration
+	world                      *world
+	born                       int64
+	running                    atomic.Int64
+	places                     chan struct{}
+
+	mu    sync.Mutex
+	state string
+	seq   int
+	era   int
+	gone  bool
+}
+
+// addWorker starts a worker. It writes its entry until it is gone.
+func (w *world) addWorker(service, zone string, workTime time.Duration) error {
+	listener, err := net.Listen("tcp", w.network+".251:0")
+	if err != nil {
+		return err
+	}
+	n := len(w.workers) + 1
+	k := &worker{
+		id: fmt.Sprintf("i-%06x%02d", rand.IntN(1<<24), n), service: service, zone: zone, address: listener.Addr().String(), slots: 4, workTime: workTime,
+		world: w, born: time.Now().UnixMilli(), state: "ready", places: make(chan struct{}, 4),
+	}
+	w.workers = append(w.workers, k)
+	go func() { _ = http.Serve(listener, k) }()
+	k.write()
+	go k.keepEntry()
+	return nil
+}
+
+// write writes the worker's entry and reports whether the store confirmed it.
+func (k *worker) write() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.gone {
+		return true
+	}
+	k.seq++
+	_, confirmed := k.world.store.put("servers", k.id, map[string]any{
+		"address": k.address, "born": k.born,
+		"info":   map[string]any{"service": k.service, "version": "v1", "zone": k.zone, "slots": k.slots},
+		"status": map[string]any{"state": k.state, "seq": k.seq, "coldLeftS": 0},
+	})
+	return confirmed
+}
+
+// keepEntry writes the entry every heartbeat. After the store was away it is written again
+// within a quarter of a second of the return.
+func (k *worker) keepEntry() {
+	time.Sleep(rand.N(heartbeat))
+	for {
+		if k.write() {
+			time.Sleep(heartbeat - 100*time.Millisecond + rand.N(200*time.Millisecond))
+			continue
+		}
+		for k.world.store.isAway() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(rand.N(250 * time.Millisecond))
+	}
+}
+
+// isAway reports whether the store is away.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// ServeHTTP implements http.Handler.
+func (k *worker) ServeHTTP(out http.ResponseWriter, in *http.Request) {
+	h := out.Header()
+	attempt := in.Header.Get("Attempt-Id")
+	if attempt != "" {
+		h.Set("Attempt-Id", attempt)
+	}
+	if want := in.Header.Get("Expect-Instance"); want != "" && want != k.id {
+		h.Set("Not-Executed", "1")
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if in.URL.Path == "/health" {
+		h.Set("Instance-Id", k.id)
+		return
+	}
+	defer k.running.Add(-1)
+	if k.running.Add(1) > int64(4*k.slots) {
+		h.Set("Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if _, err := io.Copy(io.Discard, in.Body); err != nil {
+		return
+	}
+	select {
+	case k.places <- struct{}{}:
+		defer func() { <-k.places }()
+	case <-in.Context().Done():
+		return
+	}
+	k.world.noteRun(run{attempt, in.Header.Get("Tenant"), in.URL.RequestURI(), k, time.Now()})
+	select {
+	case <-time.After(k.workTime):
+	case <-in.Context().Done():
+		return
+	}
+	body := k.service + " " + k.id + " " + attempt + "\n"
+	sum := sha256.Sum256([]byte(body))
+	h.Set("Response-Signature", hex.EncodeToString(sum[:8]))
+	h.Set("Server-Load", fmt.Sprintf("%d,%d,%d", len(k.places), max(k.running.Load()-int64(k.slots), 0), k.slots))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(out, body)
+}
