--- a/review/_standin-3/desired.go
+++ b/review/_standin-3/desired.go
@@ -16,9 +16,9 @@
 // desiredState returns a valid desired state in which one route goes to the service and
 // the tenants hold the keys.
 func desiredState(version int, service string, timeoutS float64, keysOfB []string) map[string]any {
-	route := func(name, prefix, to string) map[string]any {
+	route := func(name, prefix, kind, to string) map[string]any {
 		return map[string]any{
-			"name": name, "prefix": prefix, "kind": "idempotent", "timeoutS": timeoutS, "goalS": 0.3, "priority": 2, "service": to,
+			"name": name, "prefix": prefix, "kind": kind, "timeoutS": timeoutS, "goalS": 0.3, "priority": 2, "service": to,
 			"maxAttempts": 2, "public": false, "sticky": false, "homeRegions": []string{},
 		}
 	}
@@ -33,6 +33,6 @@
 		"version": fmt.Sprintf("%08x", version), "baseVersion": fmt.Sprintf("%08x", version-2), "services": services,
 		"limits":  map[string]any{"headerBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
 		"tenants": []any{tenant(tenantA, []string{keptKey}), tenant(tenantB, keysOfB)},
-		"hosts":   []any{map[string]any{"host": virtualHost, "paths": []any{route("r-e9itfrz", "/lepu270/", service), route("r-m2d54xb", "/xapu221/", newService)}}},
+		"hosts":   []any{map[string]any{"host": virtualHost, "paths": []any{route("r-e9itfrz", "/lepu270/", "idempotent", service), route("r-m2d54xb", "/xapu221/", "non_idempotent", newService)}}},
 	}
 }
--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -17,7 +17,11 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) int{
-	"drill": drill,
+	"drill":       drill,
+	"badrequests": badRequests,
+	"lasttenant":  lastTenant,
+	"lapse":       lapse,
+	"unordered":   unordered,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/_standin-3/store.go
+++ b/review/_standin-3/store.go
@@ -121,6 +121,26 @@
 	return before, s.version, copied
 }
 
+// comeBackWithout makes the store available again, without the given rows, which have
+// expired meanwhile.
+func (s *store) comeBackWithout(table string, keys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = false
+	var rows []row
+	for _, k := range keys {
+		rows = append(rows, row{Table: table, Key: k, Deleted: true})
+	}
+	s.apply(rows)
+}
+
+// value returns the value of a row, nil if there is none.
+func (s *store) value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowKey{table, "", key}].Value
+}
+
 // wake wakes the calls that wait for a change. The lock must be held.
 func (s *store) wake() {
 	close(s.changed)
--- a/review/_standin-3/worker.go
+++ b/review/_standin-3/worker.go
@@ -22,7 +22,15 @@
 	world                      *world
 	born                       int64
 	running                    atomic.Int64
-	places                     chan struct{}
+	// version is that of the worker's software; failShare of its answers are failures, with
+	// failStatus.
+	version    string
+	failShare  float64
+	failStatus int
+	// returnAfter is how long after a return of the store the entry is written again.
+	returnAfter time.Duration
+	server      *http.Server
+	places      chan struct{}
 
 	mu    sync.Mutex
 	state string
@@ -40,15 +48,25 @@
 	n := len(w.workers) + 1
 	k := &worker{
 		id: fmt.Sprintf("i-%06x%02d", rand.IntN(1<<24), n), service: service, zone: zone, address: listener.Addr().String(), slots: 4, workTime: workTime,
-		world: w, born: time.Now().UnixMilli(), state: "ready", places: make(chan struct{}, 4),
+		world: w, born: time.Now().UnixMilli(), state: "ready", places: make(chan struct{}, 4), version: "v1", returnAfter: rand.N(250 * time.Millisecond),
 	}
+	k.server = &http.Server{Handler: k}
 	w.workers = append(w.workers, k)
-	go func() { _ = http.Serve(listener, k) }()
+	go func() { _ = k.server.Serve(listener) }()
 	k.write()
 	go k.keepEntry()
 	return nil
 }
 
+// stop ends the worker at once, and removes its entry.
+func (k *worker) stop() {
+	k.mu.Lock()
+	k.gone = true
+	k.mu.Unlock()
+	_ = k.server.Close()
+	k.world.store.remove("servers", k.id)
+}
+
 // write writes the worker's entry and reports whether the store confirmed it.
 func (k *worker) write() bool {
 	k.mu.Lock()
@@ -59,14 +77,13 @@
 	k.seq++
 	_, confirmed := k.world.store.put("servers", k.id, map[string]any{
 		"address": k.address, "born": k.born,
-		"info":   map[string]any{"service": k.service, "version": "v1", "zone": k.zone, "slots": k.slots},
+		"info":   map[string]any{"service": k.service, "version": k.version, "zone": k.zone, "slots": k.slots},
 		"status": map[string]any{"state": k.state, "seq": k.seq, "coldLeftS": 0},
 	})
 	return confirmed
 }
 
-// keepEntry writes the entry every heartbeat. After the store was away it is written again
-// within a quarter of a second of the return.
+// keepEntry writes the entry every heartbeat, and again after the store was away.
 func (k *worker) keepEntry() {
 	time.Sleep(rand.N(heartbeat))
 	for {
@@ -77,7 +94,7 @@
 		for k.world.store.isAway() {
 			time.Sleep(10 * time.Millisecond)
 		}
-		time.Sleep(rand.N(250 * time.Millisecond))
+		time.Sleep(k.returnAfter)
 	}
 }
 
@@ -130,5 +147,8 @@
 	h.Set("Response-Signature", hex.EncodeToString(sum[:8]))
 	h.Set("Server-Load", fmt.Sprintf("%d,%d,%d", len(k.places), max(k.running.Load()-int64(k.slots), 0), k.slots))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if rand.Float64() < k.failShare {
+		out.WriteHeader(k.failStatus)
+	}
 	_, _ = io.WriteString(out, body)
 }
