--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -17,11 +17,12 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) int{
-	"drill":       drill,
-	"badrequests": badRequests,
-	"lasttenant":  lastTenant,
-	"lapse":       lapse,
-	"unordered":   unordered,
+	"drill":        drill,
+	"badrequests":  badRequests,
+	"encodedslash": encodedSlash,
+	"lasttenant":   lastTenant,
+	"lapse":        lapse,
+	"unordered":    unordered,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/_standin-3/worker.go
+++ b/review/_standin-3/worker.go
@@ -27,6 +27,8 @@
 	version    string
 	failShare  float64
 	failStatus int
+	// losing is set while the answers of a part of the requests are lost.
+	losing atomic.Bool
 	// returnAfter is how long after a return of the store the entry is written again.
 	returnAfter time.Duration
 	server      *http.Server
@@ -142,6 +144,14 @@
 	case <-in.Context().Done():
 		return
 	}
+	if k.losing.Load() && rand.Float64() < lostPart {
+		k.world.record.note("lost      the answer to %s by %s", attempt, k.id)
+		if conn, _, err := http.NewResponseController(out).Hijack(); err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+		return
+	}
 	body := k.service + " " + k.id + " " + attempt + "\n"
 	sum := sha256.Sum256([]byte(body))
 	h.Set("Response-Signature", hex.EncodeToString(sum[:8]))
