--- a/review/_standin-3/lapse.go
+++ b/review/_standin-3/lapse.go
@@ -9,13 +9,17 @@
 
 // Figures of the case of entries that lapse.
 const (
-	// outageTime is three heartbeats, after which an entry is removed.
-	outageTime = 3 * heartbeat
+	// lapseTime is the silence after which an entry is removed.
+	lapseTime = 3 * heartbeat
+	// outageTime is how long the store is down. It begins just before the next heartbeat of
+	// the old version's workers, which have started together.
+	outageTime = 3550 * time.Millisecond
+	beforeBeat = 100 * time.Millisecond
 	// returnTime is the longest time after the return of the store in which an entry that
 	// expired meanwhile is back.
 	returnTime = 2 * time.Second
 	// orderDelay is the time from the return of the store to the order.
-	orderDelay = 1880 * time.Millisecond
+	orderDelay = 1930 * time.Millisecond
 )
 
 // lapse plays a store that is down until the entries of the workers have run out, and an
@@ -29,6 +33,7 @@
 		k := w.workers[len(w.workers)-1]
 		k.mu.Lock()
 		k.version, k.failShare, k.failStatus, k.returnAfter = version, failShare, http.StatusInternalServerError, returnAfter
+		k.steady = version == "v1" && service == newService
 		k.mu.Unlock()
 		k.write()
 		return k
@@ -39,7 +44,7 @@
 			add(oldService, "v1", z.zone, 0, rand.N(returnTime))
 		}
 		if i%2 == 0 {
-			before = append(before, add(newService, "v1", z.zone, 0, returnTime-50*time.Millisecond+rand.N(40*time.Millisecond)))
+			before = append(before, add(newService, "v1", z.zone, 0, returnTime-30*time.Millisecond+rand.N(20*time.Millisecond)))
 		}
 		if w.addHost(z.zone, z.region) != nil {
 			return couldNot
@@ -67,16 +72,26 @@
 	time.Sleep(4 * time.Second)
 	returnedAt := time.Now()
 	if trouble {
+		if !waitUntil(2*heartbeat, func() bool { return shortestSilence(before) >= heartbeat-beforeBeat }) {
+			w.record.say("the workers of v1 do not write their entries together")
+			return couldNot
+		}
 		w.store.goAway()
-		w.record.say("the store is away")
+		w.record.say("the store is down")
 		time.Sleep(outageTime)
-		var ids []string
+		var lapsed []string
 		for _, k := range w.workers {
-			ids = append(ids, k.id)
+			if k.silence() >= lapseTime {
+				lapsed = append(lapsed, k.id)
+			}
+		}
+		if shortestSilence(before) < lapseTime {
+			w.record.say("the entries of v1 have not run out")
+			return couldNot
 		}
-		w.store.comeBackWithout("servers", ids)
+		w.store.comeBackWithout("servers", lapsed)
 		returnedAt = time.Now()
-		w.record.say("the store is back; the entries of all workers have run out")
+		w.record.say("the store is back; the entries of %d of %d workers have run out, those of v1 of %s among them", len(lapsed), len(w.workers), newService)
 	}
 	time.Sleep(time.Until(returnedAt.Add(orderDelay)))
 	order := map[string]any{"service": newService, "to": "v2", "overS": orderBudget.Seconds()}
@@ -88,3 +103,12 @@
 	running.Wait()
 	return judgeExposure(w, clients, returnedAt.Add(contactTime), orderedAt)
 }
+
+// shortestSilence returns the shortest time since one of the workers has written its entry.
+func shortestSilence(workers []*worker) time.Duration {
+	shortest := workers[0].silence()
+	for _, k := range workers {
+		shortest = min(shortest, k.silence())
+	}
+	return shortest
+}
--- a/review/_standin-3/worker.go
+++ b/review/_standin-3/worker.go
@@ -29,6 +29,8 @@
 	failStatus int
 	// losing is set while the answers of a part of the requests are lost.
 	losing atomic.Bool
+	// steady makes the worker write its entry at even intervals, from its start on.
+	steady bool
 	// returnAfter is how long after a return of the store the entry is written again.
 	returnAfter time.Duration
 	server      *http.Server
@@ -37,8 +39,9 @@
 	mu    sync.Mutex
 	state string
 	seq   int
-	era   int
 	gone  bool
+	// written is when the store last confirmed the entry.
+	written time.Time
 }
 
 // addWorker starts a worker. It writes its entry until it is gone.
@@ -82,15 +85,29 @@
 		"info":   map[string]any{"service": k.service, "version": k.version, "zone": k.zone, "slots": k.slots},
 		"status": map[string]any{"state": k.state, "seq": k.seq, "coldLeftS": 0},
 	})
+	if confirmed {
+		k.written = time.Now()
+	}
 	return confirmed
 }
 
+// silence returns the time since the store last confirmed the entry.
+func (k *worker) silence() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Since(k.written)
+}
+
 // keepEntry writes the entry every heartbeat, and again after the store was away.
 func (k *worker) keepEntry() {
-	time.Sleep(rand.N(heartbeat))
-	for {
+	for wait := rand.N(heartbeat); ; wait = heartbeat - 100*time.Millisecond + rand.N(200*time.Millisecond) {
+		k.mu.Lock()
+		if k.steady {
+			wait = heartbeat - time.Since(k.written)
+		}
+		k.mu.Unlock()
+		time.Sleep(wait)
 		if k.write() {
-			time.Sleep(heartbeat - 100*time.Millisecond + rand.N(200*time.Millisecond))
 			continue
 		}
 		for k.world.store.isAway() {
--- a/review/_standin-3/world.go
+++ b/review/_standin-3/world.go
@@ -211,7 +211,7 @@
 }
 
 func waitUntil(within time.Duration, done func() bool) bool {
-	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if done() {
 			return true
 		}
