--- a/review/_standin-3/lapse.go
+++ b/review/_standin-3/lapse.go
@@ -38,7 +38,7 @@
 		k.write()
 		return k
 	}
-	var before, after []*worker
+	var before []*worker
 	for i, z := range zones {
 		for range 2 {
 			add(oldService, "v1", z.zone, 0, rand.N(returnTime))
@@ -65,7 +65,7 @@
 	time.Sleep(5 * time.Second)
 	for i, z := range zones {
 		if i%2 == 0 {
-			after = append(after, add(newService, "v2", z.zone, 0.5, 200*time.Millisecond))
+			add(newService, "v2", z.zone, 0.5, 200*time.Millisecond)
 		}
 	}
 	w.record.say("workers of v2 start beside those of v1")
