--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -47,10 +47,10 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		rows = append(rows, mirror.Row{Key: hostPrefix + string(name), Value: data, Version: mirror.Version(i + 1)})
+		rows = append(rows, mirror.Row{Key: hostPrefix + string(name), Value: data, Version: mirror.Version{Number: mirror.Number(i + 1)}})
 		bulletin.Notices = append(bulletin.Notices, roster.Notice{Host: name, Age: 300 * time.Millisecond, RequestRate: 20})
 	}
-	h.copies.add(platform.Coordination, h.copies.tables[platform.Coordination].ApplyListing(rows, hosts))
+	h.copies.add(platform.Coordination, h.copies.tables[platform.Coordination].ApplyListing(rows, mirror.Version{Number: hosts}))
 	for r := range 3 {
 		t := quota.NewTotals()
 		for _, a := range state.Accounts {
--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -75,8 +73,9 @@
 	sentAt map[relayKey]clock.Instant
 	// writing holds the keys of the rows that are being written.
 	writing map[string]bool
-	// registered is set while this host's row is known to be in the store.
-	registered bool
+	// registered is set while this host's row is known to be in the store, as of an era.
+	registered    bool
+	registeredEra mirror.Era
 
 	// reader is the host of the region that reads the store for the others.
 	reader id.Host
@@ -165,6 +164,7 @@
 // due.
 func (c *controller) step(ctx context.Context, now clock.Instant) {
 	c.applyReceived(now)
+	c.host.copies.dropEarlier(now)
 	for name, rows := range c.host.copies.take() {
 		c.applyRows(name, rows, now)
 	}
@@ -278,7 +278,7 @@
 		}
 	case strings.HasPrefix(row.Key, releasePrefix) && !row.Deleted:
 		service := id.Service(strings.TrimPrefix(row.Key, releasePrefix))
-		r, err := decodeRecord(service, row.Value)
+		r, err := decodeRecord(service, row)
 		if err != nil {
 			c.log.With("key", row.Key).With("error", err.Error()).Error("A rollout record is invalid; the last one stays in force.")
 			// The next write replaces the invalid row, so it needs that row's version.
@@ -287,21 +287,8 @@
 			c.records[service] = last
 			return
 		}
-		r.Version = row.Version
 		c.records[r.Service] = r
 		c.log.With("service", r.Service).With("release", r.Change.New).With("share_milli", r.Change.Share).
 			With("state", r.Change.State).With("reason", r.Change.Reason).Info("Rollout changed.")
 	}
 }
-
-// decodeRecord decodes and checks the rollout record of a service.
-func decodeRecord(service id.Service, data []byte) (rollout.Record, error) {
-	var r rollout.Record
-	if err := json.Unmarshal(data, &r); err != nil {
-		return r, err
-	}
-	if r.Service != service {
-		return r, fmt.Errorf("%w: got service %.100q in the row of %q", rollout.ErrInvalid, r.Service, service)
-	}
-	return r, r.Validate()
-}
--- a/internal/edge/coordination_rows_test.go
+++ b/internal/edge/coordination_rows_test.go
@@ -30,8 +30,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		h.copies.add(platform.Operator, []mirror.Row{{Key: "rollout/desk", Value: order, Version: 3}})
-		h.copies.add(platform.Coordination, []mirror.Row{{Key: releasePrefix + "desk", Value: []byte(odd), Version: 7}})
+		h.copies.add(platform.Operator, []mirror.Row{{Key: "rollout/desk", Value: order, Version: mirror.Version{Number: 3}}})
+		h.copies.add(platform.Coordination, []mirror.Row{{Key: releasePrefix + "desk", Value: []byte(odd), Version: mirror.Version{Number: 7}}})
 		for range 30 {
 			c.Advance(tickInterval)
 			h.controller.step(context.Background(), c.Now())
@@ -39,7 +39,7 @@
 		releases := func(id.Service) map[id.Release]int { return map[id.Release]int{"v1": 3, "v2": 3} }
 		orders := []rollout.Order{h.controller.orders["desk"]}
 		writes := h.controller.rollouts.Decide(rollout.Input{Orders: orders, Records: h.controller.records, Releases: releases, Leader: true}, c.Now())
-		if len(writes) != 1 || writes[0].Record.Version != 7 || writes[0].Record.Change.State != table.ReleaseGrowing {
+		if len(writes) != 1 || writes[0].Record.Version.Number != 7 || writes[0].Record.Change.State != table.ReleaseGrowing {
 			t.Errorf("record %.60s: got writes %+v, want one that replaces version 7", odd, writes)
 		}
 	}
@@ -71,11 +71,11 @@
 	if m, err := decodeMember("host/b", later.JSON(t, member)); err != nil || m.Capacity != 50 {
 		t.Errorf("got %+v, %v, want the known fields of %s", m, err, member)
 	}
-	want, err := decodeRecord("desk", record)
+	want, err := decodeRecord("desk", mirror.Row{Value: record})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, err := decodeRecord("desk", later.JSON(t, record)); err != nil || got != want {
+	if got, err := decodeRecord("desk", mirror.Row{Value: later.JSON(t, record)}); err != nil || got != want {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
 	}
 }
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -42,6 +42,13 @@
 	upstreamDelayFraction = 0.125
 	// applyAllowance is the time that a host needs to apply a change after reading it.
 	applyAllowance = 500 * time.Millisecond
+	// rewriteTime is how long after the beginning of an era the rows are kept that the store
+	// has lost, and no rollout is begun. Their writers write them again by then; upstreams
+	// take up to 2 s.
+	rewriteTime = 2200 * time.Millisecond
+	// maxListDelay limits the delay before a host that is not the reader of its region lists
+	// a table of a new era. The reader's listing may arrive first.
+	maxListDelay = 500 * time.Millisecond
 	// staleCheckInterval is the interval between checks of a copy's age.
 	staleCheckInterval = 100 * time.Millisecond
 	// minBackoff is the backoff after the first failed read.
@@ -83,6 +90,10 @@
 	listed atomic.Bool
 	// freshAt is the last instant at which the copy was known to be complete.
 	freshAt atomic.Int64
+	// eraBeganAt is the instant at which the copy came to its era, or 0 if it has known one
+	// era only. Until the copy's rows of earlier eras are dropped, keepsEarlier is set.
+	eraBeganAt   atomic.Int64
+	keepsEarlier atomic.Bool
 }
 
 // markStale makes the copy count as stale, so that it is read again.
@@ -102,6 +113,48 @@
 	}
 }
 
+// apply applies changes from the store or from another host, and returns the rows that
+// changed. A copy that they show to be of an earlier era counts as stale.
+func (c *copies) apply(name platform.TableName, table *tableCopy, changes mirror.Changes) []mirror.Row {
+	before := table.Version()
+	changed := table.ApplyChanges(changes)
+	after := table.Version()
+	switch {
+	case before.IsZero() || before.Era == after.Era:
+		if after.Era < changes.Version.Era {
+			table.markStale()
+		}
+	default:
+		table.eraBeganAt.Store(int64(c.clock.Now()))
+		table.keepsEarlier.Store(true)
+		c.log.With("table", name).With("era", after.Era).With("era_before", before.Era).With("version", after).With("version_before", before).
+			With("changed", len(changed)).Warn("The store has come back from an older copy; the table was listed.")
+	}
+	return changed
+}
+
+// settled reports whether the writers have had the time to write again what the store has
+// lost from a table.
+func (t *tableCopy) settled(now clock.Instant) bool {
+	at := t.eraBeganAt.Load()
+	return at == 0 || now.Sub(clock.Instant(at)) >= rewriteTime
+}
+
+// dropEarlier queues the deletion of the rows that the store has lost and that nobody has
+// written again.
+func (c *copies) dropEarlier(now clock.Instant) {
+	for name, table := range c.tables {
+		if !table.keepsEarlier.Load() || !table.settled(now) {
+			continue
+		}
+		table.keepsEarlier.Store(false)
+		if dropped := table.DropEarlier(); len(dropped) > 0 {
+			c.log.With("table", name).With("rows", len(dropped)).Warn("Rows that the store has lost were not written again.")
+			c.add(name, dropped)
+		}
+	}
+}
+
 // follow reads a table repeatedly until ctx ends. It calls changed after it has queued
 // changes.
 func (c *copies) follow(ctx context.Context, name platform.TableName, table *tableCopy, changed func()) error {
@@ -144,7 +197,7 @@
 }
 
 // read reads the changes since the copy's version, or the whole table if it was
-// not read before or the store has compacted its history. It returns the rows
+// not read before, the store has compacted its history, or a new era has begun. It returns the rows
 // that were new to the copy.
 func (c *copies) read(ctx context.Context, name platform.TableName, table *tableCopy) ([]mirror.Row, error) {
 	if table.listed.Load() {
@@ -156,7 +209,7 @@
 		rows, version, err := c.store.Changes(ctx, name, after, timeout)
 		if err == nil {
 			table.freshAt.Store(int64(c.clock.Now()))
-			changed := table.Apply(rows, after, version)
+			changed := c.apply(name, table, mirror.Changes{Rows: rows, Base: after, Version: version})
 			// Rows that this host received earlier from another host may be new to the
 			// other hosts of the region, so all rows that were read are relayed.
 			if len(rows) > 0 && c.reading.Load() {
@@ -164,10 +217,16 @@
 			}
 			return changed, nil
 		}
-		if !errors.Is(err, platform.ErrCompacted) {
+		switch {
+		case errors.Is(err, platform.ErrCompacted):
+			c.log.With("table", name).Warn("The store has compacted its history; reading the whole table.")
+		case !errors.Is(err, platform.ErrEarlierEra):
 			return nil, err
+		case !c.reading.Load():
+			if c.clock.Sleep(ctx, rand.N(maxListDelay)); table.Version().Era > after.Era {
+				return nil, nil
+			}
 		}
-		c.log.With("table", name).Warn("The store has compacted its history; reading the whole table.")
 	}
 	rows, version, err := c.store.List(ctx, name)
 	if err != nil {
@@ -175,14 +234,14 @@
 	}
 	table.listed.Store(true)
 	table.freshAt.Store(int64(c.clock.Now()))
-	return table.ApplyListing(rows, version), nil
+	return c.apply(name, table, mirror.Changes{Rows: rows, Version: version, Full: true}), nil
 }
 
 // known reports whether a table was read from the store or received in full from
 // another host.
 func (c *copies) known(name platform.TableName) bool {
 	table := c.tables[name]
-	return table.listed.Load() || table.Version() > 0
+	return table.listed.Load() || !table.Version().IsZero()
 }
 
 // recordResult notes the result of a read, and logs when reads begin to fail and
@@ -230,7 +289,7 @@
 	if table == nil {
 		return false
 	}
-	changed := table.ApplyChanges(changes)
+	changed := c.apply(name, table, changes)
 	c.add(name, changed)
 	return len(changed) > 0
 }
--- a/internal/edge/copies_test.go
+++ b/internal/edge/copies_test.go
@@ -21,13 +21,13 @@
 func TestCopyWithLatestChangeIsFresh(t *testing.T) {
 	c := clock.NewFake()
 	copies := newCopies(nil, c, logging.Discard(), 2*time.Second)
-	row := mirror.Row{Key: "k", Version: 5}
-	copies.applyRelayed(platform.Operator, mirror.Changes{Rows: []mirror.Row{row}, Version: 5, Full: true})
+	row := mirror.Row{Key: "k", Version: mirror.Version{Number: 5}}
+	copies.applyRelayed(platform.Operator, mirror.Changes{Rows: []mirror.Row{row}, Version: mirror.Version{Number: 5}, Full: true})
 	c.Advance(10 * time.Second)
 	name := string(platform.Operator)
-	reader := func(changed mirror.Version) *roster.Digest {
+	reader := func(changed mirror.Number) *roster.Digest {
 		return &roster.Digest{
-			Versions: map[string]mirror.Version{name: 90}, LastChange: map[string]mirror.Version{name: changed},
+			Versions: map[string]mirror.Version{name: {Number: 90}}, LastChange: map[string]mirror.Version{name: {Number: changed}},
 			CopyAges: map[string]time.Duration{name: 300 * time.Millisecond},
 		}
 	}
@@ -39,7 +39,7 @@
 	if got, want := copies.ages(c.Now())[name], 300*time.Millisecond; got != want {
 		t.Errorf("got an age of %v, want %v", got, want)
 	}
-	if got, want := copies.tables[platform.Operator].Version(), mirror.Version(90); got != want {
+	if got, want := copies.tables[platform.Operator].Version(), (mirror.Version{Number: 90}); got != want {
 		t.Errorf("got the copy complete as of %d, want %d", got, want)
 	}
 }
@@ -89,8 +89,8 @@
 				t.Errorf("got a copy of age %v, want the age since its last read: %v", got, want)
 			}
 			readUpstreams(t, follower)
-			if got := copied.Get(removed); got.Version > 0 {
-				t.Errorf("got the removed row at version %d, want none", got.Version)
+			if got := copied.Get(removed); !got.Version.IsZero() {
+				t.Errorf("got the removed row at version %v, want none", got.Version)
 			}
 		})
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -304,6 +304,7 @@
 		}
 		h.pool.Retain(func(key string) bool { return inUse[key] })
 		h.metrics.dialed.Update(h.pool.Dialed())
+		h.metrics.storeEra.Update(int64(h.store.Era()))
 	}
 	return nil
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -11,6 +11,7 @@
 	"celerypin.example/celerypin/pkg/coordination/roster"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
 	"celerypin.example/celerypin/pkg/state/unit"
 	"celerypin.example/celerypin/platform"
 )
@@ -93,6 +94,12 @@
 // register writes this host's row, and retries the write until it succeeds.
 func (c *controller) register(ctx context.Context, now clock.Instant) {
 	table := c.host.copies.tables[platform.Coordination]
+	key := hostPrefix + string(c.self.ID)
+	row, era := table.Get(key), table.Version().Era
+	if c.registeredBefore(era) && row.Version.Era < era {
+		c.log.With("era", era).Warn("The store has lost the host's row; it is written again.")
+		c.setRegistered(false)
+	}
 	if c.isRegistered() || c.host.leaving.Load() || now < c.nextRegisterAt || !table.listed.Load() {
 		return
 	}
@@ -105,8 +112,7 @@
 		c.log.With("error", err).Error("The host's row could not be encoded.")
 		return
 	}
-	key := hostPrefix + string(c.self.ID)
-	if row := table.Get(key); row.Version > 0 && equalExceptIncarnation(row.Value, data) {
+	if !row.Version.IsZero() && row.Version.Era == era && equalExceptIncarnation(row.Value, data) {
 		c.setRegistered(true)
 		return
 	}
@@ -126,7 +132,7 @@
 // listsSelf reports whether this host's copy of the table holds its own row, and so those
 // of the hosts that registered before.
 func (c *controller) listsSelf() bool {
-	return c.host.copies.tables[platform.Coordination].Get(hostPrefix+string(c.self.ID)).Version > 0
+	return !c.host.copies.tables[platform.Coordination].Get(hostPrefix + string(c.self.ID)).Version.IsZero()
 }
 
 func (c *controller) isRegistered() bool {
@@ -138,7 +144,15 @@
 func (c *controller) setRegistered(registered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.registered = registered
+	c.registered, c.registeredEra = registered, c.host.store.Era()
+}
+
+// registeredBefore reports whether this host's row was last known to be in the store in an
+// earlier era.
+func (c *controller) registeredBefore(era mirror.Era) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registered && c.registeredEra < era
 }
 
 // prune removes the rows of expired hosts, if this host is the leader.
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -20,8 +20,8 @@
 	if h.copies.reading.Load() {
 		t.Error("got a reader that does not know its own row, want none")
 	}
-	row := mirror.Row{Key: hostPrefix + "a", Value: []byte(`{"host":"a","region":"r","failure_domain":"d"}`), Version: 1}
-	h.copies.applyRelayed(platform.Coordination, mirror.Changes{Rows: []mirror.Row{row}, Version: 1, Full: true})
+	row := mirror.Row{Key: hostPrefix + "a", Value: []byte(`{"host":"a","region":"r","failure_domain":"d"}`), Version: mirror.Version{Number: 1}}
+	h.copies.applyRelayed(platform.Coordination, mirror.Changes{Rows: []mirror.Row{row}, Version: mirror.Version{Number: 1}, Full: true})
 	h.controller.step(context.Background(), c.Now())
 	if !h.copies.reading.Load() {
 		t.Error("got no reader with its own row and no other host, want this host")
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -23,7 +23,7 @@
 	attempts, directory                                       metrics.Counter
 	windowsReported, windowsLeftOut, windowsLate              metrics.Counter
 	hedgesSent, hedgesWon, hedgesWasted, hedgesSuppressed     metrics.Counter
-	dialed, panics, dutyHeld, dutyToken                       metrics.Gauge
+	dialed, panics, dutyHeld, dutyToken, storeEra             metrics.Gauge
 	latency                                                   metrics.Histogram
 }
 
@@ -41,7 +41,8 @@
 		dialed:   metrics.NewRegisteredGauge("upstreams.connections_made", r),
 		panics:   metrics.NewRegisteredGauge("host.panics", r),
 		dutyHeld: metrics.NewRegisteredGauge("duty.held", r), dutyToken: metrics.NewRegisteredGauge("duty.token", r),
-		latency: metrics.NewRegisteredHistogram("requests.latency_us", r, metrics.NewUniformSample(latencySample)),
+		storeEra: metrics.NewRegisteredGauge("store.era", r),
+		latency:  metrics.NewRegisteredHistogram("requests.latency_us", r, metrics.NewUniformSample(latencySample)),
 	}
 }
 
--- a/internal/edge/panics_test.go
+++ b/internal/edge/panics_test.go
@@ -35,7 +35,7 @@
 	h.controller.received = []receivedDigest{{digest: nil}, {digest: &roster.Digest{Incarnation: 1, Sequence: 1, Host: fleet.Host{ID: "b", Region: "r"}}}}
 	// The settings are read when a row of an upstream is decoded.
 	settings := h.settings.Swap(nil)
-	h.copies.add(platform.Upstreams, []mirror.Row{{Key: "u", Value: []byte("{}"), Version: 1}})
+	h.copies.add(platform.Upstreams, []mirror.Row{{Key: "u", Value: []byte("{}"), Version: mirror.Version{Number: 1}}})
 	h.controller.applyReceived(c.Now())
 	for name, rows := range h.copies.take() {
 		h.controller.applyRows(name, rows, c.Now())
@@ -91,8 +91,8 @@
 	c := clock.NewFake()
 	h := newTestHost(t, c)
 	h.controller.upstreams.entries["u"] = entry{info: fleet.Upstream{ID: "u"}}
-	rows := []mirror.Row{{Key: "u", Version: 2, Deleted: true}}
-	h.copies.applyRelayed(platform.Upstreams, mirror.Changes{Rows: rows, Version: 2})
+	rows := []mirror.Row{{Key: "u", Version: mirror.Version{Number: 2}, Deleted: true}}
+	h.copies.applyRelayed(platform.Upstreams, mirror.Changes{Rows: rows, Version: mirror.Version{Number: 2}})
 	_ = h.copies.take()
 	h.controller.restart()
 	h.controller.step(context.Background(), c.Now())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -67,7 +67,7 @@
 	}
 	for name, table := range c.host.copies.tables {
 		knownVersion := d.Versions[string(name)]
-		if table.LastChange() <= knownVersion || !c.allowRelay(relayKey{to, string(name)}, now) {
+		if !knownVersion.Before(table.LastChange()) || !c.allowRelay(relayKey{to, string(name)}, now) {
 			continue
 		}
 		c.host.mesh.Send(to, gossip.Message{Rows: &gossip.Rows{Table: string(name), Changes: table.ChangesSince(knownVersion)}})
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 
 	"celerypin.example/celerypin/pkg/coordination/rollout"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
 	"celerypin.example/celerypin/pkg/state/table"
 	"celerypin.example/celerypin/platform"
 )
@@ -35,10 +37,35 @@
 	c.updateApproved()
 }
 
+// recordRow is the JSON form of a rollout record.
+type recordRow struct {
+	rollout.Record
+	Order    mirror.Number `json:"order"`
+	OrderEra mirror.Era    `json:"order_era,omitempty"`
+}
+
+func encodeRecord(r rollout.Record) ([]byte, error) {
+	return json.Marshal(recordRow{Record: r, Order: r.OrderVersion.Number, OrderEra: r.OrderVersion.Era})
+}
+
+// decodeRecord decodes and checks the rollout record of a service.
+func decodeRecord(service id.Service, row mirror.Row) (rollout.Record, error) {
+	var r recordRow
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r.Record, err
+	}
+	if r.Service != service {
+		return r.Record, fmt.Errorf("%w: got service %.100q in the row of %q", rollout.ErrInvalid, r.Service, service)
+	}
+	r.OrderVersion = mirror.Version{Era: r.OrderEra, Number: r.Order}
+	r.Version = row.Version
+	return r.Record, r.Validate()
+}
+
 // commitRecord writes a rollout record, together with its status for operators if
 // Publish is set. The record takes effect when it is read back from the store.
 func (c *controller) commitRecord(ctx context.Context, w rollout.Write) {
-	data, err := json.Marshal(w.Record)
+	data, err := encodeRecord(w.Record)
 	if err != nil {
 		c.log.With("error", err).Error("A rollout record could not be encoded.")
 		return
--- a/internal/edge/usagetask.go
+++ b/internal/edge/usagetask.go
@@ -153,7 +153,7 @@
 	version, err := t.host.store.Commit(ctx, platform.Put{
 		Table: platform.DutyRows, Key: closedKey(w.Window), Value: data, Conditional: true, Expected: w.Version,
 	}, condition)
-	if err != nil || version == 0 {
+	if err != nil || version.IsZero() {
 		t.stale = true
 		t.windowLog(w, token).With("error", fmt.Sprint(err)).Warn("A usage window could not be closed.")
 		if errors.Is(err, platform.ErrConflict) {
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -55,24 +55,26 @@
 }
 
 type digest struct {
-	Incarnation   id.Incarnation              `cbor:"incarnation"`
-	Sequence      id.Sequence                 `cbor:"sequence"`
-	Region        id.Region                   `cbor:"region"`
-	FailureDomain id.FailureDomain            `cbor:"failure_domain"`
-	Address       string                      `cbor:"address"`
-	Capacity      unit.PerSecond              `cbor:"capacity,omitempty"`
-	Leaving       bool                        `cbor:"leaving,omitempty"`
-	Follows       bool                        `cbor:"follows,omitempty"`
-	HoldsPool     bool                        `cbor:"pool,omitempty"`
-	QuotaKept     bool                        `cbor:"quotas_kept,omitempty"`
-	Versions      map[string]mirror.Version   `cbor:"versions,omitempty"`
-	LastChange    map[string]mirror.Version   `cbor:"changed,omitempty"`
-	CopyAges      map[string]uint32           `cbor:"ages_ms,omitempty"`
-	ReadsFailing  bool                        `cbor:"failing,omitempty"`
-	Quotas        codec.Arrays[accountReport] `cbor:"quotas,omitempty"`
-	RequestRate   float32                     `cbor:"requests"`
-	Outcomes      codec.Arrays[outcome]       `cbor:"outcomes,omitempty"`
-	BadReleases   codec.Arrays[releaseID]     `cbor:"bad,omitempty"`
+	Incarnation   id.Incarnation           `cbor:"incarnation"`
+	Sequence      id.Sequence              `cbor:"sequence"`
+	Region        id.Region                `cbor:"region"`
+	FailureDomain id.FailureDomain         `cbor:"failure_domain"`
+	Address       string                   `cbor:"address"`
+	Capacity      unit.PerSecond           `cbor:"capacity,omitempty"`
+	Leaving       bool                     `cbor:"leaving,omitempty"`
+	Follows       bool                     `cbor:"follows,omitempty"`
+	HoldsPool     bool                     `cbor:"pool,omitempty"`
+	QuotaKept     bool                     `cbor:"quotas_kept,omitempty"`
+	Versions      map[string]mirror.Number `cbor:"versions,omitempty"`
+	LastChange    map[string]mirror.Number `cbor:"changed,omitempty"`
+	// Eras are those of Versions and LastChange. A table of era 0 may be left out.
+	Eras         map[string]mirror.Era       `cbor:"eras,omitempty"`
+	CopyAges     map[string]uint32           `cbor:"ages_ms,omitempty"`
+	ReadsFailing bool                        `cbor:"failing,omitempty"`
+	Quotas       codec.Arrays[accountReport] `cbor:"quotas,omitempty"`
+	RequestRate  float32                     `cbor:"requests"`
+	Outcomes     codec.Arrays[outcome]       `cbor:"outcomes,omitempty"`
+	BadReleases  codec.Arrays[releaseID]     `cbor:"bad,omitempty"`
 }
 
 // unheardPrefix begins the keys of CopyAges that name an unheard failure domain instead of
@@ -113,9 +115,12 @@
 }
 
 type rows struct {
-	Table   string            `cbor:"table"`
-	Base    mirror.Version    `cbor:"base"`
-	Version mirror.Version    `cbor:"version"`
+	Table string `cbor:"table"`
+	// Era is that of all versions but Base.
+	Era     mirror.Era        `cbor:"era,omitempty"`
+	BaseEra mirror.Era        `cbor:"base_era,omitempty"`
+	Base    mirror.Number     `cbor:"base"`
+	Version mirror.Number     `cbor:"version"`
 	Full    bool              `cbor:"full,omitempty"`
 	Rows    codec.Arrays[row] `cbor:"rows"`
 }
@@ -124,7 +129,7 @@
 	_       struct{} `cbor:",toarray"`
 	Key     string
 	Value   []byte
-	Version mirror.Version
+	Version mirror.Number
 	Deleted bool
 }
 
@@ -143,10 +148,7 @@
 		e.Bulletin = bulletinToWire(m.Bulletin)
 	}
 	if m.Rows != nil {
-		e.Rows = &rows{Table: m.Rows.Table, Base: m.Rows.Base, Version: m.Rows.Version, Full: m.Rows.Full}
-		for _, r := range m.Rows.Rows {
-			e.Rows.Rows = append(e.Rows.Rows, row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
-		}
+		e.Rows = rowsToWire(m.Rows)
 	}
 	if m.Tokens != nil {
 		e.Tokens = tokensToWire(m.Tokens)
@@ -173,10 +175,7 @@
 		m.Bulletin = bulletinFromWire(e.Bulletin)
 	}
 	if e.Rows != nil {
-		m.Rows = &Rows{Table: e.Rows.Table, Changes: mirror.Changes{Base: e.Rows.Base, Version: e.Rows.Version, Full: e.Rows.Full}}
-		for _, r := range e.Rows.Rows {
-			m.Rows.Rows = append(m.Rows.Rows, mirror.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
-		}
+		m.Rows = rowsFromWire(e.Rows)
 	}
 	if e.Tokens != nil {
 		m.Tokens = tokensFromWire(e.Tokens)
@@ -190,10 +189,64 @@
 	return e.From, e.To, m, nil
 }
 
+func rowsToWire(r *Rows) *rows {
+	out := &rows{
+		Table: r.Table, Era: r.Version.Era, Version: r.Version.Number, BaseEra: r.Base.Era, Base: r.Base.Number, Full: r.Full,
+	}
+	for _, changed := range r.Rows {
+		out.Rows = append(out.Rows, row{Key: changed.Key, Value: changed.Value, Version: changed.Version.Number, Deleted: changed.Deleted})
+	}
+	return out
+}
+
+func rowsFromWire(r *rows) *Rows {
+	out := &Rows{Table: r.Table, Changes: mirror.Changes{
+		Base: mirror.Version{Era: r.BaseEra, Number: r.Base}, Version: mirror.Version{Era: r.Era, Number: r.Version}, Full: r.Full,
+	}}
+	for _, changed := range r.Rows {
+		out.Rows = append(out.Rows, mirror.Row{
+			Key: changed.Key, Value: changed.Value, Version: mirror.Version{Era: r.Era, Number: changed.Version}, Deleted: changed.Deleted,
+		})
+	}
+	return out
+}
+
+// numbersOf returns the numbers of versions, by table.
+func numbersOf(versions map[string]mirror.Version) map[string]mirror.Number {
+	out := map[string]mirror.Number{}
+	for table, v := range versions {
+		out[table] = v.Number
+	}
+	return out
+}
+
+// erasOf returns the eras of versions, by table, but for era 0.
+func erasOf(versions map[string]mirror.Version) map[string]mirror.Era {
+	out := map[string]mirror.Era{}
+	for table, v := range versions {
+		if v.Era > 0 {
+			out[table] = v.Era
+		}
+	}
+	return out
+}
+
+// versionsOf returns versions by their numbers and eras. A table without an era has era 0.
+func versionsOf(numbers map[string]mirror.Number, eras map[string]mirror.Era) map[string]mirror.Version {
+	if len(numbers) == 0 {
+		return nil
+	}
+	out := map[string]mirror.Version{}
+	for table, n := range numbers {
+		out[table] = mirror.Version{Era: eras[table], Number: n}
+	}
+	return out
+}
+
 func digestToWire(d *roster.Digest) *digest {
 	out := &digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence, Region: d.Host.Region, FailureDomain: d.Host.FailureDomain,
-		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: float32(d.RequestRate),
+		Address: d.Host.Address, Capacity: d.Host.Capacity, Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: numbersOf(d.Versions), LastChange: numbersOf(d.LastChange), Eras: erasOf(d.Versions), ReadsFailing: d.ReadsFailing, RequestRate: float32(d.RequestRate),
 		CopyAges: map[string]uint32{},
 	}
 	for table, age := range d.CopyAges {
@@ -268,7 +321,7 @@
 	out := &roster.Digest{
 		Incarnation: d.Incarnation, Sequence: d.Sequence,
 		Host:    fleet.Host{ID: from, Region: d.Region, FailureDomain: d.FailureDomain, Address: d.Address, Capacity: max(d.Capacity, 0)},
-		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: d.Versions, LastChange: d.LastChange, ReadsFailing: d.ReadsFailing, RequestRate: positive(d.RequestRate),
+		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: versionsOf(d.Versions, d.Eras), LastChange: versionsOf(d.LastChange, d.Eras), ReadsFailing: d.ReadsFailing, RequestRate: positive(d.RequestRate),
 		CopyAges:      map[string]time.Duration{},
 		Quota:         quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
 		ReleaseCounts: outcomesFromWire(d.Outcomes), BadReleases: releasesFromWire(d.BadReleases),
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -32,7 +32,7 @@
 	outcomes := map[release.RouteRelease]release.Counts{subject: {Requests: 9, Failed: 1, Slow: 2}}
 	digest := &roster.Digest{
 		Incarnation: 7, Sequence: 12, Host: fleet.Host{ID: "host-a", Region: "west", FailureDomain: "west-a", Address: "10.0.0.1:80", Capacity: 500},
-		Follows: true, HoldsPool: true, Versions: map[string]mirror.Version{"op": 9}, LastChange: map[string]mirror.Version{"op": 4}, CopyAges: map[string]time.Duration{"op": 40 * time.Millisecond},
+		Follows: true, HoldsPool: true, Versions: map[string]mirror.Version{"op": {Era: 2, Number: 9}}, LastChange: map[string]mirror.Version{"op": {Era: 2, Number: 4}}, CopyAges: map[string]time.Duration{"op": 40 * time.Millisecond},
 		Quota:       quota.Report{Demand: map[id.Account]float64{"choir": 2.5}, Part: map[id.Account]float64{"choir": 0.25}},
 		RequestRate: 31, ReleaseCounts: outcomes, BadReleases: []release.ID{{Service: "desk", Release: "v2"}},
 		Unheard: map[id.FailureDomain]float64{"east-a": 0.125},
@@ -52,8 +52,8 @@
 		},
 		Totals: map[id.Region]quota.Totals{"west": totals},
 	}
-	rows := &Rows{Table: "op", Changes: mirror.Changes{Base: 3, Version: 5, Full: true, Rows: []mirror.Row{
-		{Key: "config", Value: []byte("{}"), Version: 4}, {Key: "gone", Version: 5, Deleted: true},
+	rows := &Rows{Table: "op", Changes: mirror.Changes{Base: mirror.Version{Era: 1, Number: 3}, Version: mirror.Version{Era: 2, Number: 5}, Full: true, Rows: []mirror.Row{
+		{Key: "config", Value: []byte("{}"), Version: mirror.Version{Era: 2, Number: 4}}, {Key: "gone", Version: mirror.Version{Era: 2, Number: 5}, Deleted: true},
 	}}}
 	return []struct {
 		name    string
@@ -152,7 +152,7 @@
 		if !codectest.IsUnknown(name) {
 			return
 		}
-		later := codectest.Later{Key: name, Value: value, DataMaps: []string{"versions", "changed", "ages_ms", "totals"}}
+		later := codectest.Later{Key: name, Value: value, DataMaps: []string{"versions", "changed", "eras", "ages_ms", "totals"}}
 		for _, e := range examples() {
 			data, err := Codec{}.Encode("host-a", "host-b", e.message)
 			if err != nil {
--- a/pkg/coordination/duty/duty.go
+++ b/pkg/coordination/duty/duty.go
@@ -74,7 +74,7 @@
 )
 
 // Action is what a candidate wants done next: Write puts Record into the row if the row has
-// the version Expected, where 0 means that there is no row.
+// the version Expected, whose number is 0 if there must be no row.
 type Action struct {
 	Kind     ActionKind
 	Record   Record
@@ -116,7 +116,7 @@
 // expected is the version on which a write is conditional.
 func (r *row) expected() mirror.Version {
 	if !r.found {
-		return 0
+		return mirror.Version{Era: r.version.Era}
 	}
 	return r.version
 }
@@ -245,7 +245,7 @@
 	r := c.ownRecord()
 	r.Released = true
 	if c.refused >= c.token {
-		r.Token = max(c.token, Token(c.row.version))
+		r.Token = max(c.token, Token(c.row.version.Number))
 	}
 	return r
 }
@@ -273,7 +273,7 @@
 func (c *Candidate) nextToken() Token {
 	next := c.row.record.Token + 1
 	if !c.row.found || !c.row.record.Valid() {
-		next = max(Token(c.row.version), 1)
+		next = max(Token(c.row.version.Number), 1)
 	}
 	return max(next, c.refused+1)
 }
@@ -297,7 +297,7 @@
 // The lease may have ended all the same.
 func (c *Candidate) Held() (Token, mirror.Version, bool) {
 	if !c.held {
-		return 0, 0, false
+		return 0, mirror.Version{}, false
 	}
 	return c.token, c.row.version, true
 }
--- a/pkg/coordination/duty/duty_test.go
+++ b/pkg/coordination/duty/duty_test.go
@@ -108,13 +108,13 @@
 		h.ineligible = !h.ineligible
 	case 7:
 		if f.found {
-			f.version++
+			f.version.Number++
 			f.written, f.decodable = f.version, false
 		}
 	case 8:
 		// The platform has seen a higher token, as after the rows were lost.
 		if f.terms.Fenced {
-			f.highest = max(f.highest, min(f.highest+1, Token(f.version)))
+			f.highest = max(f.highest, min(f.highest+1, Token(f.version.Number)))
 		}
 	case 9:
 		h.trapped = true
--- a/pkg/coordination/duty/fleet_test.go
+++ b/pkg/coordination/duty/fleet_test.go
@@ -168,7 +168,7 @@
 		})
 	}
 	if a.Kind == Write {
-		f.log("%s writes token %d released %v over version %d", h.name, a.Record.Token, a.Record.Released, a.Expected)
+		f.log("%s writes token %d released %v over version %v", h.name, a.Record.Token, a.Record.Released, a.Expected)
 	}
 	lostAnswer := f.chance(0.1) || h.cut
 	requestDelay := f.delay()
@@ -199,7 +199,7 @@
 	f.after(storeTimeout, func() {
 		finish(func() {
 			if a.Kind == Write {
-				c.ObserveWrite(Unknown, 0, sentAt, h.now())
+				c.ObserveWrite(Unknown, mirror.Version{}, sentAt, h.now())
 			}
 		})
 	})
@@ -217,12 +217,12 @@
 
 func (f *simFleet) apply(a Action) (Result, mirror.Version) {
 	if f.random.IntN(3) == 0 {
-		f.version++ // another row is written
+		f.version.Number++ // another row is written
 	}
 	if current := f.written; a.Expected != current {
-		return Conflict, 0
+		return Conflict, mirror.Version{}
 	}
-	f.version++
+	f.version.Number++
 	f.record, f.found, f.written, f.decodable = a.Record, true, f.version, true
 	return Applied, f.version
 }
--- a/pkg/coordination/duty/observe.go
+++ b/pkg/coordination/duty/observe.go
@@ -38,7 +38,7 @@
 // process did so: the earliest instant at which one of these writes was sent.
 func (c *Candidate) sentAtOf(record Record, version mirror.Version) (sentAt clock.Instant, written bool) {
 	for _, w := range c.pending {
-		if w.record == record && w.expected < version && (!written || w.sentAt < sentAt) {
+		if w.record == record && w.expected.Before(version) && (!written || w.sentAt < sentAt) {
 			sentAt, written = w.sentAt, true
 		}
 	}
@@ -46,8 +46,8 @@
 }
 
 // ObserveWrite takes in the result of the write that Next returned. SentAt is an instant
-// before the write was sent; version is that of the row if the write was applied, or 0 if the
-// store did not state it.
+// before the write was sent; version is that of the row if the write was applied, or the
+// zero Version if the store did not state it.
 func (c *Candidate) ObserveWrite(result Result, version mirror.Version, sentAt, now clock.Instant) {
 	w := c.issued
 	if w == nil {
@@ -55,7 +55,7 @@
 	}
 	c.issued = nil
 	w.sentAt = sentAt
-	if result == Applied && version == 0 {
+	if result == Applied && version.IsZero() {
 		result = Unknown
 	}
 	switch result {
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -34,7 +34,7 @@
 	// Current is the release that serves the traffic outside a rollout.
 	Current id.Release `json:"current"`
 	// OrderVersion is the version of the order that Change executes.
-	OrderVersion mirror.Version      `json:"order"`
+	OrderVersion mirror.Version      `json:"-"`
 	Step         int                 `json:"step"`
 	Change       table.ReleaseChange `json:"change"`
 	// Version is the version of the row, which the next write requires.
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -38,7 +38,7 @@
 func newSimulation(seed uint64) *simulation {
 	return &simulation{
 		controller: New(0.1), clock: clock.NewFake(), random: rand.New(rand.NewPCG(seed, 1)),
-		order:   Order{Service: "viewer", To: "v2", Within: 15 * time.Second, Version: 7},
+		order:   Order{Service: "viewer", To: "v2", Within: 15 * time.Second, Version: mirror.Version{Number: 7}},
 		records: map[id.Service]Record{}, counts: map[release.RouteRelease]release.Counts{},
 	}
 }
@@ -60,7 +60,7 @@
 		}
 		s.controller.AddCounts("host", 1, s.counts)
 		for _, w := range s.controller.Decide(s.input(), s.clock.Now()) {
-			w.Record.Version++
+			w.Record.Version.Number++
 			s.records["viewer"] = w.Record
 		}
 		s.clock.Advance(tick)
@@ -124,7 +124,7 @@
 func TestBeginWaitsForAnUpstream(t *testing.T) {
 	c := New(0.1)
 	in := Input{
-		Orders: []Order{{Service: "viewer", To: "v2", Within: time.Second, Version: mirror.Version(3)}}, Leader: true,
+		Orders: []Order{{Service: "viewer", To: "v2", Within: time.Second, Version: mirror.Version{Number: 3}}}, Leader: true,
 		Releases: func(id.Service) map[id.Release]int { return nil },
 	}
 	if got := c.Decide(in, clock.NewFake().Now()); len(got) != 0 {
--- a/pkg/coordination/usage/fleet_test.go
+++ b/pkg/coordination/usage/fleet_test.go
@@ -336,7 +336,7 @@
 		if token != m.token || m.rows[SlotOf(w.Window)].Version != w.Version {
 			return false
 		}
-		m.ver++
+		m.ver.Number++
 		w.Version = m.ver
 		m.rows[SlotOf(w.Window)] = w
 		return true
--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -7,12 +7,56 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 )
 
-// Version numbers the store's transactions; the version of a row is that of the
-// transaction that last changed it.
-type Version uint64
+// Version identifies a transaction of the store; the version of a row is that of the
+// transaction that last changed it. A store that comes back from an older copy of itself
+// begins a new era and gives out numbers again, so numbers are comparable within an era only.
+type Version struct {
+	Era    Era
+	Number Number
+}
+
+// Era counts how often the store has come back from an older copy.
+type Era uint64
+
+// Number numbers the transactions of an era.
+type Number uint64
+
+// Compare orders versions. All versions of an era follow those of the eras before it.
+func (v Version) Compare(w Version) int {
+	if c := cmp.Compare(v.Era, w.Era); c != 0 {
+		return c
+	}
+	return cmp.Compare(v.Number, w.Number)
+}
+
+// Before reports whether v is older than w.
+func (v Version) Before(w Version) bool { return v.Compare(w) < 0 }
+
+// IsZero reports whether v is the zero Version, which belongs to no transaction.
+func (v Version) IsZero() bool { return v == Version{} }
+
+// String returns the number, after the era if there was more than one.
+func (v Version) String() string {
+	if v.Era == 0 {
+		return strconv.FormatUint(uint64(v.Number), 10)
+	}
+	return strconv.FormatUint(uint64(v.Era), 10) + "." + strconv.FormatUint(uint64(v.Number), 10)
+}
+
+// MarshalText returns the version as String does, for logs.
+func (v Version) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// later returns the later of two versions.
+func later(v, w Version) Version {
+	if v.Before(w) {
+		return w
+	}
+	return v
+}
 
 // Row is one row as the store holds it. A deleted row is kept with the version of
 // its deletion, so that an older copy of the row cannot restore it.
@@ -37,7 +81,7 @@
 	listed Version
 }
 
-// New returns an empty table at version 0.
+// New returns an empty table at the zero Version.
 func New() *Table { return &Table{rows: map[string]Row{}} }
 
 // Version returns the version as of which the copy is complete.
@@ -57,36 +101,44 @@
 }
 
 // Confirm makes the copy complete as of version if it reflects all changes up to
-// that version, the last of which was at lastChange. It reports whether it does.
+// that version, the last of which was at lastChange. It reports whether it does. A copy
+// of another era never does.
 func (t *Table) Confirm(lastChange, version Version) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.version < lastChange {
+	if t.version.Era != version.Era || t.version.Before(lastChange) {
 		return false
 	}
-	t.version = max(t.version, version)
+	t.version = later(t.version, version)
 	return true
 }
 
 // Apply merges changed rows that make a copy complete as of version if it was
 // complete as of base. It returns the rows that changed in this copy. If the copy
-// is older than base, the rows are merged but its version does not advance.
+// is older than base, the rows are merged but its version does not advance. Changes of
+// another era are ignored: only a listing takes a copy to a later one.
 func (t *Table) Apply(rows []Row, base, version Version) []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if version.Era != t.version.Era {
+		return nil
+	}
 	changed := t.merge(rows)
-	if base <= t.version && version > t.version {
-		t.version = version
+	if !t.version.Before(base) {
+		t.version = later(t.version, version)
 	}
 	return changed
 }
 
 // ApplyListing merges a full listing as of version; rows that are not listed were
 // deleted. It returns the rows that changed, and ignores a listing older than the copy.
+//
+// Rows of an earlier era that the first listing of an era does not contain are kept until
+// DropEarlier: the store may have lost them, and their writers write them again.
 func (t *Table) ApplyListing(rows []Row, version Version) []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version < t.version {
+	if version.Before(t.version) {
 		return nil
 	}
 	changed := t.merge(rows)
@@ -95,28 +147,50 @@
 		listed[r.Key] = true
 	}
 	for key, r := range t.rows {
-		if !listed[key] && !r.Deleted && r.Version <= version {
-			r.Deleted, r.Value, r.Version = true, nil, version
-			t.rows[key] = r
-			changed = append(changed, r)
+		switch {
+		case listed[key] || version.Before(r.Version):
+		case r.Deleted && r.Version.Era < version.Era:
+			delete(t.rows, key)
+		case !r.Deleted && r.Version.Era == version.Era:
+			changed = append(changed, t.markDeleted(r, version))
 		}
 	}
 	// Rows that this copy never held may have been deleted since its last version.
-	t.lastChange = max(t.lastChange, version)
+	t.lastChange = later(t.lastChange, version)
 	t.version, t.listed = version, version
 	return changed
 }
 
+// DropEarlier deletes the rows that are left of earlier eras, and returns them.
+func (t *Table) DropEarlier() []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var dropped []Row
+	for _, r := range t.rows {
+		if r.Version.Era < t.version.Era && !r.Deleted {
+			dropped = append(dropped, t.markDeleted(r, t.listed))
+		}
+	}
+	return dropped
+}
+
+// markDeleted marks a row as deleted at a version. The caller holds the mutex.
+func (t *Table) markDeleted(r Row, at Version) Row {
+	r.Deleted, r.Value, r.Version = true, nil, at
+	t.rows[r.Key] = r
+	return r
+}
+
 // merge stores the rows that are newer than those of the copy, and returns them. The
 // caller holds the mutex.
 func (t *Table) merge(rows []Row) []Row {
 	var changed []Row
 	for _, r := range rows {
-		if old, ok := t.rows[r.Key]; ok && old.Version >= r.Version {
+		if old, ok := t.rows[r.Key]; ok && !old.Version.Before(r.Version) {
 			continue
 		}
 		t.rows[r.Key] = r
-		t.lastChange = max(t.lastChange, r.Version)
+		t.lastChange = later(t.lastChange, r.Version)
 		changed = append(changed, r)
 	}
 	return changed
@@ -135,17 +209,18 @@
 
 // ChangesSince returns the changes after a version, in the order of versions. For a
 // version before the last full listing, it returns a full listing, because
-// deletions before that listing are not known.
+// deletions before that listing are not known. Rows that are left of earlier eras are not
+// part of it.
 func (t *Table) ChangesSince(after Version) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Changes{Base: after, Version: t.version, Full: after < t.listed}
+	c := Changes{Base: after, Version: t.version, Full: after.Before(t.listed)}
 	for _, r := range t.rows {
-		if r.Version > after || (c.Full && !r.Deleted) {
+		if r.Version.Era == t.version.Era && (after.Before(r.Version) || (c.Full && !r.Deleted)) {
 			c.Rows = append(c.Rows, r)
 		}
 	}
-	slices.SortFunc(c.Rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(c.Rows, func(a, b Row) int { return a.Version.Compare(b.Version) })
 	return c
 }
 
@@ -170,10 +245,10 @@
 func (t *Table) AllRows() []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.SortedFunc(maps.Values(t.rows), func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	return slices.SortedFunc(maps.Values(t.rows), func(a, b Row) int { return a.Version.Compare(b.Version) })
 }
 
-// Get returns one row; an absent or deleted row has version 0.
+// Get returns one row; an absent or deleted row has the zero Version.
 func (t *Table) Get(key string) Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/state/mirror/mirror_test.go
+++ b/pkg/state/mirror/mirror_test.go
@@ -9,6 +9,9 @@
 	"pgregory.net/rapid"
 )
 
+// at returns a version of the first era.
+func at(n Number) Version { return Version{Number: n} }
+
 func rowsOf(t *Table) map[string]Version {
 	out := map[string]Version{}
 	for k, r := range t.Rows() {
@@ -22,12 +25,12 @@
 func TestCopiesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store, a, b := New(), New(), New()
-		var version Version
+		var version Number
 		change := func() {
 			version++
 			key := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key"))
-			row := Row{Key: key, Value: []byte{byte(version)}, Version: version, Deleted: rapid.Bool().Draw(t, "deleted")}
-			store.Apply([]Row{row}, version-1, version)
+			row := Row{Key: key, Value: []byte{byte(version)}, Version: at(version), Deleted: rapid.Bool().Draw(t, "deleted")}
+			store.Apply([]Row{row}, at(version-1), at(version))
 		}
 		read := func(c *Table) {
 			c.ApplyChanges(store.ChangesSince(c.Version()))
@@ -72,14 +75,14 @@
 func TestConfirmedCopyIsComplete(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store, reader, follower := New(), New(), New()
-		var version Version
+		var version Number
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				version++
 				key := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key"))
-				row := Row{Key: key, Value: []byte{byte(version)}, Version: version, Deleted: rapid.Bool().Draw(t, "deleted")}
-				store.Apply([]Row{row}, version-1, version)
+				row := Row{Key: key, Value: []byte{byte(version)}, Version: at(version), Deleted: rapid.Bool().Draw(t, "deleted")}
+				store.Apply([]Row{row}, at(version-1), at(version))
 			case 2:
 				reader.ApplyChanges(store.ChangesSince(reader.Version()))
 			case 3:
@@ -102,21 +105,21 @@
 // whose full listing came after the deletion and that never held the row.
 func TestListingRelaysDeletion(t *testing.T) {
 	old, listed := New(), New()
-	old.Apply([]Row{{Key: "a", Version: 8, Value: []byte("x")}}, 0, 8)
-	listed.ApplyListing(nil, 9)
+	old.Apply([]Row{{Key: "a", Version: at(8), Value: []byte("x")}}, at(0), at(8))
+	listed.ApplyListing(nil, at(9))
 	old.ApplyChanges(listed.ChangesSince(old.Version()))
 	if got := len(old.Rows()); got != 0 {
 		t.Errorf("got %d rows after the relay, want none", got)
 	}
-	if got, want := old.Version(), Version(9); got != want {
-		t.Errorf("got version %d, want %d", got, want)
+	if got, want := old.Version(), at(9); got != want {
+		t.Errorf("got version %v, want %v", got, want)
 	}
 }
 
 func TestOlderRowDoesNotReplaceDeletion(t *testing.T) {
 	c := New()
-	c.Apply([]Row{{Key: "a", Version: 5, Deleted: true}}, 0, 5)
-	c.Apply([]Row{{Key: "a", Version: 3, Value: []byte("old")}}, 0, 4)
+	c.Apply([]Row{{Key: "a", Version: at(5), Deleted: true}}, at(0), at(5))
+	c.Apply([]Row{{Key: "a", Version: at(3), Value: []byte("old")}}, at(0), at(4))
 	if got := len(c.Rows()); got != 0 {
 		t.Errorf("got %d rows, want none", got)
 	}
@@ -124,12 +127,119 @@
 
 func TestGapDoesNotAdvanceTheVersion(t *testing.T) {
 	c := New()
-	c.Apply(nil, 0, 5)
-	c.Apply([]Row{{Key: "a", Version: 9}}, 7, 9)
-	if got, want := c.Version(), Version(5); got != want {
-		t.Errorf("got version %d, want %d", got, want)
+	c.Apply(nil, at(0), at(5))
+	c.Apply([]Row{{Key: "a", Version: at(9)}}, at(7), at(9))
+	if got, want := c.Version(), at(5); got != want {
+		t.Errorf("got version %v, want %v", got, want)
 	}
 	if got, want := len(c.Rows()), 1; got != want {
 		t.Errorf("got %d rows, want %d", got, want)
 	}
 }
+
+// eraStore is a store that can come back from an older copy of itself.
+type eraStore struct {
+	rows    map[string]Row
+	history []Row
+	version Version
+}
+
+func (s *eraStore) clone() eraStore {
+	return eraStore{maps.Clone(s.rows), slices.Clone(s.history), s.version}
+}
+
+func (s *eraStore) change(key string, value byte, deleted bool) {
+	s.version.Number++
+	r := Row{Key: key, Value: []byte{value}, Version: s.version, Deleted: deleted}
+	if deleted {
+		delete(s.rows, key)
+	} else {
+		s.rows[key] = r
+	}
+	s.history = append(s.history, r)
+}
+
+// restore brings back a copy. Its rows and history have the versions of the new era.
+func (s *eraStore) restore(backup eraStore) {
+	era := s.version.Era + 1
+	*s = backup.clone()
+	s.version.Era = era
+	for key, r := range s.rows {
+		r.Version.Era = era
+		s.rows[key] = r
+	}
+	for i := range s.history {
+		s.history[i].Version.Era = era
+	}
+}
+
+// read reads the changes since the copy's version or, in a new era, lists the table.
+func (s *eraStore) read(c *Table) {
+	after := c.Version()
+	if after.Era != s.version.Era {
+		c.ApplyListing(slices.Collect(maps.Values(s.rows)), s.version)
+		return
+	}
+	rows := slices.DeleteFunc(slices.Clone(s.history), func(r Row) bool { return !after.Before(r.Version) })
+	c.Apply(rows, after, s.version)
+}
+
+// TestStoreEraCopiesAgree guards against copies that keep rows of an earlier era of the store,
+// or miss rows of a later one, in any order of reads, relays, late relays and confirmations.
+func TestStoreEraCopiesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := eraStore{rows: map[string]Row{}, version: Version{Era: 1}}
+		backup := store.clone()
+		copies := []*Table{New(), New()}
+		var late []Changes
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, 1).Draw(t, "copy")
+			c, other := copies[i], copies[1-i]
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1:
+				store.change(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key")), rapid.Byte().Draw(t, "value"), rapid.Bool().Draw(t, "deleted"))
+			case 2:
+				store.read(c)
+			case 3:
+				c.ApplyChanges(other.ChangesSince(c.Version()))
+			case 4:
+				late = append(late, other.ChangesSince(c.Version()))
+			case 5:
+				if len(late) > 0 {
+					c.ApplyChanges(late[rapid.IntRange(0, len(late)-1).Draw(t, "late")])
+				}
+			case 6:
+				c.Confirm(other.LastChange(), other.Version())
+			case 7:
+				if rapid.Bool().Draw(t, "restore") {
+					store.restore(backup)
+				}
+				backup = store.clone()
+			}
+		}
+		for i, c := range copies {
+			store.read(c)
+			store.read(c)
+			c.DropEarlier()
+			want := map[string]Version{}
+			for key, r := range store.rows {
+				want[key] = r.Version
+			}
+			if got := rowsOf(c); !maps.Equal(got, want) {
+				t.Fatalf("copy %d: got rows %v, want those of the store: %v", i, got, want)
+			}
+		}
+	})
+}
+
+// TestStoreEraReaderDoesNotConfirmOtherEra guards against a copy that counts as fresh because
+// a reader that has not seen the store's return reports a higher number.
+func TestStoreEraReaderDoesNotConfirmOtherEra(t *testing.T) {
+	c := New()
+	c.ApplyListing(nil, Version{Era: 2, Number: 5})
+	for _, reader := range []Version{{Era: 1, Number: 90}, {Era: 3, Number: 5}} {
+		if c.Confirm(reader, reader) {
+			t.Errorf("a reader at %v: got copy %v confirmed, want not", reader, c.Version())
+		}
+	}
+}
