Keep upstreams out of use that leave when the store goes back

What callers would see: requests go to an upstream that has reported that it leaves, or that has left, after the store has come back from a copy older than that report, until the report is written again.

Cause: with versions ordered by era, the first listing of an era replaces the entries, also by older ones.

Change: in a new era, the report that an upstream leaves is kept while the upstream is in the same life.

Evidence: TestStoreEraDoesNotUndoWithdrawals failed before (got state live, want leaving; got the entry of an upstream that has left).

--- a/internal/edge/store_era_test.go
+++ b/internal/edge/store_era_test.go
@@ -1,11 +1,18 @@
 package edge
 
 import (
+	"context"
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
 
+	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
+	"celerypin.example/celerypin/pkg/state/fleet"
+	"celerypin.example/celerypin/pkg/state/id"
+	"celerypin.example/celerypin/pkg/state/mirror"
+	"celerypin.example/celerypin/platform"
 	"celerypin.example/celerypin/platform/standin"
 )
 
@@ -53,3 +60,71 @@
 	}
 	t.Fatalf("got desired state %d, want %d", got, want)
 }
+
+// listing returns a listing of an era.
+func listing(era mirror.Era, number mirror.Number, rows ...mirror.Row) mirror.Changes {
+	for i := range rows {
+		rows[i].Version.Era = era
+	}
+	return mirror.Changes{Rows: rows, Version: mirror.Version{Era: era, Number: number}, Full: true}
+}
+
+func numbered(number mirror.Number, key string, value any) mirror.Row {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return mirror.Row{Key: key, Value: data, Version: mirror.Version{Number: number}}
+}
+
+func upstreamRow(number mirror.Number, key, state string) mirror.Row {
+	return numbered(number, key, map[string]any{
+		"address": "10.0.0.9:80", "born": 1000, "info": map[string]any{"service": "desk", "version": "v1", "zone": "d", "slots": 4},
+		"status": map[string]any{"state": state, "coldLeftS": 0},
+	})
+}
+
+// TestStoreEraDoesNotUndoWithdrawals guards against requests to an upstream that reported that
+// it leaves, or that has left, and to an evacuated failure domain, after the store has come
+// back from a copy that is older than these changes.
+func TestStoreEraDoesNotUndoWithdrawals(t *testing.T) {
+	c := clock.NewFake()
+	h := newTestHost(t, c)
+	s := *h.settings.Load()
+	s.Regions = map[id.FailureDomain]id.Region{"d": "r"}
+	h.settings.Store(&s)
+	apply := func(name platform.TableName, changes mirror.Changes) {
+		h.copies.applyRelayed(name, changes)
+		h.controller.step(context.Background(), c.Now())
+	}
+	stateOf := func(key string) fleet.UpstreamState {
+		return h.controller.upstreams.entries[key].info.State
+	}
+	apply(platform.Upstreams, listing(1, 10, upstreamRow(5, "leaves", "ready"), upstreamRow(6, "left", "ready"), upstreamRow(7, "stays", "ready")))
+	apply(platform.Upstreams, listing(1, 20, upstreamRow(18, "leaves", "draining"), upstreamRow(7, "stays", "ready")))
+	apply(platform.Operator, listing(1, 20, numbered(19, "evacuate/d", map[string]any{})))
+	c.Advance(time.Second)
+	apply(platform.Upstreams, listing(2, 11, upstreamRow(5, "leaves", "ready"), upstreamRow(6, "left", "ready"), upstreamRow(7, "stays", "ready")))
+	apply(platform.Operator, listing(2, 11))
+	if got, want := stateOf("leaves"), fleet.UpstreamDraining; got != want {
+		t.Errorf("an upstream that leaves: got state %v, want %v", got, want)
+	}
+	if _, got := h.controller.upstreams.entries["left"]; got {
+		t.Error("got the entry of an upstream that has left, want none")
+	}
+	if got, want := stateOf("stays"), fleet.UpstreamLive; got != want {
+		t.Errorf("an unchanged upstream: got state %v, want %v", got, want)
+	}
+	if !h.controller.upstreams.evacuated["d"] {
+		t.Error("got no evacuation right after the store's return, want it kept")
+	}
+	// What nobody writes again by then is as the store says.
+	c.Advance(rewriteTime)
+	h.controller.step(context.Background(), c.Now())
+	if _, got := h.controller.upstreams.entries["left"]; !got {
+		t.Error("got no entry of an upstream that was not removed again, want it")
+	}
+	if h.controller.upstreams.evacuated["d"] {
+		t.Error("got an evacuation that was not ordered again, want none")
+	}
+}
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -19,6 +19,9 @@
 	// because it may have lapsed while the store was unavailable. Live upstreams
 	// have registered again by then.
 	lapsedRetention = 2200 * time.Millisecond
+	// removedRetention is how long a removal is remembered. The store may come back from a
+	// copy that is some seconds old and still has the entry.
+	removedRetention = 30 * time.Second
 	// refreshInterval is the interval at which the placer gets the current demand.
 	refreshInterval = time.Second
 	// minReturnCold is the minimum time for which the upstreams of a failure domain
@@ -34,6 +37,8 @@
 	entries         map[string]entry
 	evacuated       map[id.FailureDomain]bool
 	evacuationEnded map[id.FailureDomain]clock.Instant
+	// removed holds the entries that were removed within removedRetention.
+	removed map[string]removal
 	// changed is set if the placer must be updated.
 	changed   bool
 	updatedAt clock.Instant
@@ -41,7 +46,9 @@
 
 // entry is an upstream's row, with the state that this host keeps about it.
 type entry struct {
-	info      fleet.Upstream
+	info fleet.Upstream
+	// era is that of the row.
+	era       mirror.Era
 	coldUntil clock.Instant
 	// implausible is set once it has been logged that the entry is not used.
 	implausible bool
@@ -50,9 +57,20 @@
 	expiresAt clock.Instant
 }
 
+// removal is the removal of an entry, as known in an era.
+type removal struct {
+	incarnation id.Incarnation
+	era         mirror.Era
+	at          clock.Instant
+	// restored is set if the entry is listed again in a later era, which began from a copy
+	// older than the removal. It is not used before its writer has had the time to remove it.
+	restored bool
+}
+
 func newUpstreamList(h *Host, log *logging.Log) *upstreamList {
 	return &upstreamList{
 		host: h, log: log, entries: map[string]entry{}, evacuated: map[id.FailureDomain]bool{}, evacuationEnded: map[id.FailureDomain]clock.Instant{},
+		removed: map[string]removal{},
 	}
 }
 
@@ -60,8 +78,12 @@
 func (l *upstreamList) applyRow(row mirror.Row, now clock.Instant) {
 	old, known := l.entries[row.Key]
 	if row.Deleted {
+		if r, ok := l.removed[row.Key]; ok {
+			r.restored = false
+			l.removed[row.Key] = r
+		}
 		if known && !old.lapsed {
-			l.remove(row.Key, old, now)
+			l.remove(row.Key, old, row.Version.Era, now)
 		}
 		return
 	}
@@ -72,8 +94,21 @@
 		l.changed = true
 		return
 	}
-	next := entry{info: info}
-	if cold > 0 {
+	if r, ok := l.removed[row.Key]; ok && r.incarnation == info.Incarnation && r.era < row.Version.Era {
+		r.restored = true
+		l.removed[row.Key] = r
+		return
+	}
+	newEra := known && old.era < row.Version.Era && old.info.Incarnation == info.Incarnation
+	if newEra && old.info.State == fleet.UpstreamDraining {
+		// The store has lost the report that the upstream leaves.
+		info.State = old.info.State
+	}
+	next := entry{info: info, era: row.Version.Era}
+	switch {
+	case newEra && old.info == info:
+		next.coldUntil = old.coldUntil
+	case cold > 0:
 		next.coldUntil = now.Add(cold)
 	}
 	l.entries[row.Key] = next
@@ -89,7 +124,7 @@
 
 // remove removes an entry. A live upstream's entry that may have lapsed because the
 // store was unavailable is kept until the upstream has had time to register again.
-func (l *upstreamList) remove(key string, old entry, now clock.Instant) {
+func (l *upstreamList) remove(key string, old entry, era mirror.Era, now clock.Instant) {
 	until := clock.Instant(l.host.copies.tables[platform.Upstreams].lastFailureAt.Load()).Add(lapsedRetention)
 	l.changed = true
 	if now < until && old.info.State == fleet.UpstreamLive {
@@ -99,9 +134,27 @@
 		return
 	}
 	delete(l.entries, key)
+	l.removed[key] = removal{incarnation: old.info.Incarnation, era: era, at: now}
 	l.log.With("upstream", old.info.ID).With("service", old.info.Service).Info("Upstream gone.")
 }
 
+// applyRestored forgets old removals, and applies the rows of entries that a later era has
+// restored and that were not removed again.
+func (l *upstreamList) applyRestored(now clock.Instant) {
+	table := l.host.copies.tables[platform.Upstreams]
+	for key, r := range l.removed {
+		switch {
+		case r.restored && table.settled(now):
+			delete(l.removed, key)
+			if row := table.Get(key); !row.Version.IsZero() {
+				l.applyRow(row, now)
+			}
+		case !r.restored && now.Sub(r.at) >= removedRetention:
+			delete(l.removed, key)
+		}
+	}
+}
+
 // setEvacuated notes the beginning or the end of a failure domain's evacuation.
 func (l *upstreamList) setEvacuated(domain id.FailureDomain, on bool, now clock.Instant) {
 	if l.evacuated[domain] == on {
@@ -117,10 +170,12 @@
 // step removes expired entries, and updates the placer after a change or when the
 // refresh interval has passed.
 func (l *upstreamList) step(now clock.Instant) {
+	l.applyRestored(now)
 	for key, e := range l.entries {
 		if e.lapsed && now >= e.expiresAt {
 			delete(l.entries, key)
 			l.changed = true
+			l.removed[key] = removal{incarnation: e.info.Incarnation, era: e.era, at: now}
 			l.log.With("upstream", e.info.ID).Info("A lapsed entry did not return.")
 		}
 	}
