Keep rollouts where they are when the store goes back

What operators would see: a rollout that was reported completed is in progress again, or begins anew, after the store has come back from an older copy. On "completed" the old upstreams have been stopped.

Cause: the record that the store holds replaces the one that hosts know, also an earlier step. An order is identified by the version of its row, which changes when the operator writes it again. A record that was accepted but not read back yet was not known to anybody.

Change: records count their writes. One that is behind the known one, or missing, in a new era does not replace it; the leader writes the known one again with its status, and other hosts that know it do so later. A change that has ended does not begin again. An order with the same content in a later era is the same order. A record takes effect once the store has accepted it.

Evidence: with the records and orders of any era taken as they come, TestStoreEraRolloutRecordIsWrittenAgain, TestStoreEraOrderWrittenAgainIsTheSame and TestStoreEraEarlierRecordIsBehind fail.

--- a/internal/edge/controller.go
+++ b/internal/edge/controller.go
@@ -80,9 +80,11 @@
 	// reader is the host of the region that reads the store for the others.
 	reader id.Host
 	// live holds the hosts that are in contact.
-	live          map[id.Host]bool
-	orders        map[id.Service]rollout.Order
-	records       map[id.Service]rollout.Record
+	live    map[id.Host]bool
+	orders  map[id.Service]rollout.Order
+	records map[id.Service]rollout.Record
+	// unrecorded holds the records that the store has lost, and since when that is known.
+	unrecorded    map[id.Service]clock.Instant
 	sequence      id.Sequence
 	digestsSentAt clock.Instant
 	// quotaReport is the last report of the accounts' quotas to the other hosts.
@@ -109,7 +111,7 @@
 	return &controller{
 		host: h, self: self, log: log, started: h.clock.Now(), wakeUps: make(chan struct{}, 1),
 		rollouts: rollout.New(h.settings.Load().Bounds.ExposureShare), upstreams: newUpstreamList(h, log),
-		sentAt: map[relayKey]clock.Instant{}, writing: map[string]bool{}, orders: map[id.Service]rollout.Order{}, records: map[id.Service]rollout.Record{},
+		sentAt: map[relayKey]clock.Instant{}, writing: map[string]bool{}, orders: map[id.Service]rollout.Order{}, records: map[id.Service]rollout.Record{}, unrecorded: map[id.Service]clock.Instant{},
 		approved: map[id.Service]id.Release{},
 	}
 }
@@ -219,7 +221,7 @@
 	case platform.Upstreams:
 		c.upstreams.applyRow(row, now)
 	case platform.Coordination:
-		c.applyCoordinationRow(row)
+		c.applyCoordinationRow(row, now)
 	}
 }
 
@@ -269,26 +271,14 @@
 	c.log.With("state_version", next.Version).With("version", row.Version).With("routes", len(next.Routes)).Info("Desired state in force.")
 }
 
-func (c *controller) applyCoordinationRow(row mirror.Row) {
+func (c *controller) applyCoordinationRow(row mirror.Row, now clock.Instant) {
 	switch {
 	case strings.HasPrefix(row.Key, hostPrefix):
 		c.applyMembers()
 		if row.Deleted && row.Key == hostPrefix+string(c.self.ID) {
 			c.setRegistered(false)
 		}
-	case strings.HasPrefix(row.Key, releasePrefix) && !row.Deleted:
-		service := id.Service(strings.TrimPrefix(row.Key, releasePrefix))
-		r, err := decodeRecord(service, row)
-		if err != nil {
-			c.log.With("key", row.Key).With("error", err.Error()).Error("A rollout record is invalid; the last one stays in force.")
-			// The next write replaces the invalid row, so it needs that row's version.
-			last := c.records[service]
-			last.Service, last.Version = service, row.Version
-			c.records[service] = last
-			return
-		}
-		c.records[r.Service] = r
-		c.log.With("service", r.Service).With("release", r.Change.New).With("share_milli", r.Change.Share).
-			With("state", r.Change.State).With("reason", r.Change.Reason).Info("Rollout changed.")
+	case strings.HasPrefix(row.Key, releasePrefix):
+		c.applyRecord(id.Service(strings.TrimPrefix(row.Key, releasePrefix)), row, now)
 	}
 }
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"celerypin.example/celerypin/pkg/coordination/rollout"
 	"celerypin.example/celerypin/pkg/state/clock"
@@ -20,9 +21,15 @@
 	for _, o := range c.orders {
 		orders = append(orders, o)
 	}
+	coordination := c.host.copies.tables[platform.Coordination]
+	leader := c.host.roster.IsLeader(c.host.leaving.Load(), now) && coordination.listed.Load()
+	// Orders and records may be older than what the store has lost until both are written again.
+	settled := coordination.settled(now) && c.host.copies.tables[platform.Operator].settled(now)
+	if settled {
+		c.restoreRecords(ctx, leader, now)
+	}
 	writes := c.rollouts.Decide(rollout.Input{
-		Orders: orders, Records: c.records, Releases: c.host.placer.Releases,
-		Leader: c.host.roster.IsLeader(c.host.leaving.Load(), now) && c.host.copies.tables[platform.Coordination].listed.Load(),
+		Orders: orders, Records: c.records, Releases: c.host.placer.Releases, Leader: leader && settled,
 	}, now)
 	for _, w := range writes {
 		c.commitRecord(ctx, w)
@@ -37,6 +44,19 @@
 	c.updateApproved()
 }
 
+// restoreRecords writes the records again that the store has lost. A host that is not the
+// leader does so after restoreDelay, because the leader may not know the record.
+func (c *controller) restoreRecords(ctx context.Context, leader bool, now clock.Instant) {
+	for service, since := range c.unrecorded {
+		if leader || now.Sub(since) >= rewriteTime+restoreDelay {
+			c.commitRecord(ctx, rollout.Write{Record: c.records[service], Publish: true})
+		}
+	}
+}
+
+// restoreDelay is the time that the leader has to write a record again.
+const restoreDelay = 1500 * time.Millisecond
+
 // recordRow is the JSON form of a rollout record.
 type recordRow struct {
 	rollout.Record
@@ -62,8 +82,55 @@
 	return r.Record, r.Validate()
 }
 
+// applyRecord applies the row of a service's rollout record. A record that the store has lost
+// stays in force.
+func (c *controller) applyRecord(service id.Service, row mirror.Row, now clock.Instant) {
+	log := c.log.With("service", service).With("version", row.Version)
+	last, known := c.records[service]
+	_, unrecorded := c.unrecorded[service]
+	if row.Version.Before(last.Version) || (unrecorded && row.Version == last.Version) {
+		return
+	}
+	lost := known && last.Current != "" && (unrecorded || last.Version.Era < row.Version.Era)
+	if row.Deleted {
+		if lost {
+			// The next write requires that there is no row.
+			last.Version = mirror.Version{Era: row.Version.Era}
+			c.keepRecord(last, now)
+			log.Warn("The store has lost a rollout record; it is written again.")
+		}
+		return
+	}
+	r, err := decodeRecord(service, row)
+	if err != nil {
+		log.With("error", err.Error()).Error("A rollout record is invalid; the last one stays in force.")
+		// The next write replaces the invalid row, so it needs that row's version.
+		last.Service, last.Version = service, row.Version
+		c.records[service] = last
+		return
+	}
+	if lost && r.Behind(&last) {
+		last.Version = row.Version
+		c.keepRecord(last, now)
+		log.With("revision", r.Revision).With("revision_before", last.Revision).Warn("The store has an earlier rollout record; the later one is written again.")
+		return
+	}
+	delete(c.unrecorded, service)
+	c.records[service] = r
+	log.With("release", r.Change.New).With("share_milli", r.Change.Share).
+		With("state", r.Change.State).With("reason", r.Change.Reason).Info("Rollout changed.")
+}
+
+// keepRecord keeps a record in force that the store has lost.
+func (c *controller) keepRecord(r rollout.Record, now clock.Instant) {
+	c.records[r.Service] = r
+	if _, ok := c.unrecorded[r.Service]; !ok {
+		c.unrecorded[r.Service] = now
+	}
+}
+
 // commitRecord writes a rollout record, together with its status for operators if
-// Publish is set. The record takes effect when it is read back from the store.
+// Publish is set. The record takes effect when the store has accepted it.
 func (c *controller) commitRecord(ctx context.Context, w rollout.Write) {
 	data, err := encodeRecord(w.Record)
 	if err != nil {
@@ -87,8 +154,12 @@
 		puts = append(puts, status)
 	}
 	c.write(key, func() {
-		_, err := c.host.store.Commit(ctx, puts...)
+		version, err := c.host.store.Commit(ctx, puts...)
 		switch {
+		case err == nil && !version.IsZero():
+			// The store may lose the record before it is read back.
+			c.host.copies.add(platform.Coordination, []mirror.Row{{Key: key, Value: data, Version: version}})
+			c.wake()
 		case errors.Is(err, platform.ErrConflict):
 			c.log.With("service", w.Record.Service).Info("Another host wrote the rollout record first.")
 		case err != nil:
--- a/internal/edge/store_era_test.go
+++ b/internal/edge/store_era_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"celerypin.example/celerypin/pkg/coordination/rollout"
 	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/desired"
 	"celerypin.example/celerypin/pkg/state/fleet"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/mirror"
+	"celerypin.example/celerypin/pkg/state/table"
 	"celerypin.example/celerypin/platform"
 	"celerypin.example/celerypin/platform/standin"
 )
@@ -128,3 +131,56 @@
 		t.Error("got an evacuation that was not ordered again, want none")
 	}
 }
+
+// TestStoreEraRolloutRecordIsWrittenAgain guards against a rollout that operators have seen
+// completed and that is in progress again, because the store has come back from an older copy.
+func TestStoreEraRolloutRecordIsWrittenAgain(t *testing.T) {
+	c := clock.NewFake()
+	h := newTestHost(t, c)
+	store := standin.NewStore()
+	server := httptest.NewServer(store.Handler("a"))
+	defer server.Close()
+	h.store = platform.NewStore(server.Listener.Addr().String(), http.DefaultTransport)
+	key := releasePrefix + "desk"
+	record := func(revision uint64, state table.ReleaseState, share table.Milli, current id.Release) []byte {
+		data, err := encodeRecord(rollout.Record{
+			Service: "desk", Current: current, OrderVersion: mirror.Version{Era: 1, Number: 1}, Revision: revision, Step: 3,
+			Change: table.ReleaseChange{Service: "desk", Old: "v1", New: "v2", Share: share, State: state},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	completed := record(5, table.ReleaseDone, table.Whole, "v2")
+	store.Put(string(platform.Coordination), key, record(4, table.ReleaseGrowing, 500, "v1"))
+	backup := store.Backup()
+	store.Put(string(platform.Coordination), key, completed)
+	coordination := h.copies.tables[platform.Coordination]
+	read := func() {
+		rows, err := h.copies.read(context.Background(), platform.Coordination, coordination)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.copies.add(platform.Coordination, rows)
+		h.controller.step(context.Background(), c.Now())
+	}
+	h.copies.store = h.store
+	h.copies.reading.Store(true)
+	read()
+	store.Restore(backup)
+	h.copies.reading.Store(true)
+	read()
+	if got, want := h.controller.records["desk"].Change.State, table.ReleaseDone; got != want {
+		t.Fatalf("got state %v after the store's return, want %v", got, want)
+	}
+	c.Advance(rewriteTime)
+	h.controller.step(context.Background(), c.Now())
+	var got mirror.Row
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && string(got.Value) != string(completed); time.Sleep(10 * time.Millisecond) {
+		got, _, _ = h.store.Get(context.Background(), platform.Coordination, key)
+	}
+	if string(got.Value) != string(completed) {
+		t.Errorf("got record %s in the store, want %s", got.Value, completed)
+	}
+}
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -34,13 +34,33 @@
 	// Current is the release that serves the traffic outside a rollout.
 	Current id.Release `json:"current"`
 	// OrderVersion is the version of the order that Change executes.
-	OrderVersion mirror.Version      `json:"-"`
-	Step         int                 `json:"step"`
-	Change       table.ReleaseChange `json:"change"`
+	OrderVersion mirror.Version `json:"-"`
+	// Revision counts the writes of the record. It shows which of two records is the later
+	// one where the store has lost some.
+	Revision uint64              `json:"revision,omitempty"`
+	Step     int                 `json:"step"`
+	Change   table.ReleaseChange `json:"change"`
 	// Version is the version of the row, which the next write requires.
 	Version mirror.Version `json:"-"`
 }
 
+// executes reports whether the record is that of an order. An order that the store has lost
+// with an era, and that the operator has written again, is the same order.
+func (r *Record) executes(o Order) bool {
+	return r.OrderVersion == o.Version ||
+		r.OrderVersion.Era < o.Version.Era && r.Change.New == o.To && r.Change.Deadline == config.Duration(o.Within)
+}
+
+// Behind reports whether the record is earlier than last, which was read in an earlier era.
+// A change that has ended does not begin again because the store has lost its end.
+func (r *Record) Behind(last *Record) bool {
+	sameChange := r.Change.New == last.Change.New && r.Change.Old == last.Change.Old && r.Change.Deadline == last.Change.Deadline
+	if sameChange && last.Change.State != table.ReleaseGrowing {
+		return r.Change.State == table.ReleaseGrowing
+	}
+	return r.Revision < last.Revision
+}
+
 // ErrInvalid means that a record cannot have been written by a Controller.
 var ErrInvalid = errors.New("invalid rollout record")
 
@@ -174,6 +194,7 @@
 	var writes []Write
 	for _, o := range in.Orders {
 		if w, due := c.decideOrder(o, in, now); due && in.Leader {
+			w.Record.Revision++
 			writes = append(writes, w)
 		}
 	}
@@ -184,8 +205,15 @@
 	r, hasRecord := in.Records[o.Service]
 	// A record that holds only its version takes the place of an invalid row.
 	hasRecord = hasRecord && r.Current != ""
-	if !hasRecord || r.OrderVersion != o.Version {
+	switch {
+	case hasRecord && o.Version.Era < r.OrderVersion.Era:
+		// The order is that of a copy which has not been read in this era.
+		return Write{}, false
+	case !hasRecord || !r.executes(o):
 		return c.begin(o, r, hasRecord, in.Releases(o.Service))
+	case r.OrderVersion.Number != o.Version.Number:
+		r.OrderVersion = o.Version
+		return Write{Record: r, Publish: true}, true
 	}
 	if r.Change.State != table.ReleaseGrowing {
 		return Write{}, false
@@ -210,7 +238,7 @@
 			return Write{}, false
 		}
 	}
-	next := Record{Service: o.Service, Current: current, OrderVersion: o.Version, Version: r.Version, Change: table.ReleaseChange{
+	next := Record{Service: o.Service, Current: current, OrderVersion: o.Version, Revision: r.Revision, Version: r.Version, Change: table.ReleaseChange{
 		Service: o.Service, Old: current, New: o.To, Share: c.share(0), State: table.ReleaseGrowing, Deadline: config.Duration(o.Within),
 	}}
 	if current == o.To {
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -7,6 +7,7 @@
 
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/clock"
+	"celerypin.example/celerypin/pkg/state/config"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/pkg/state/mirror"
 	"celerypin.example/celerypin/pkg/state/table"
@@ -174,3 +175,76 @@
 		t.Errorf("got %d incarnations kept, want at most %d", got, maxIncarnations)
 	}
 }
+
+// TestStoreEraOrderWrittenAgainIsTheSame guards against a rollout that begins anew because the
+// store has lost the order and the operator has written it again.
+func TestStoreEraOrderWrittenAgainIsTheSame(t *testing.T) {
+	first := Order{Service: "viewer", To: "v2", Within: 15 * time.Second, Version: mirror.Version{Era: 1, Number: 90}}
+	again, other, older := first, first, first
+	again.Version = mirror.Version{Era: 2, Number: 40}
+	other.Version, other.To = again.Version, "v3"
+	older.Version = mirror.Version{Era: 1, Number: 95}
+	for _, c := range []struct {
+		name  string
+		order Order
+		// state is that of the record in era 2, and want the state that is written.
+		state, want table.ReleaseState
+	}{
+		{"written again while it grows", again, table.ReleaseGrowing, table.ReleaseGrowing},
+		{"written again after it completed", again, table.ReleaseDone, table.ReleaseDone},
+		{"written again after it was rolled back", again, table.ReleaseRetreated, table.ReleaseRetreated},
+		{"another order", other, table.ReleaseDone, table.ReleaseGrowing},
+		{"restored unchanged", Order{Service: "viewer", To: "v2", Within: first.Within, Version: mirror.Version{Era: 2, Number: 90}}, table.ReleaseDone, ""},
+	} {
+		share := map[table.ReleaseState]table.Milli{table.ReleaseGrowing: 500, table.ReleaseDone: table.Whole}[c.state]
+		record := Record{
+			Service: "viewer", Current: "v1", OrderVersion: first.Version, Revision: 7, Step: 5, Version: mirror.Version{Era: 2, Number: 30},
+			Change: table.ReleaseChange{Service: "viewer", Old: "v1", New: "v2", Share: share, State: c.state, Deadline: config.Duration(first.Within)},
+		}
+		in := Input{
+			Orders: []Order{c.order}, Records: map[id.Service]Record{"viewer": record}, Leader: true,
+			Releases: func(id.Service) map[id.Release]int { return map[id.Release]int{"v1": 3, "v2": 3, "v3": 3} },
+		}
+		writes := New(0.1).Decide(in, clock.NewFake().Now())
+		switch {
+		case c.want == "":
+			if len(writes) != 0 {
+				t.Errorf("%s: got %+v, want no write", c.name, writes)
+			}
+		case len(writes) != 1:
+			t.Errorf("%s: got %d writes, want 1", c.name, len(writes))
+		default:
+			got := writes[0].Record
+			if got.Change.State != c.want || got.OrderVersion != c.order.Version || (c.order == again && got.Change.Share != share) {
+				t.Errorf("%s: got %+v, want state %s with share %d", c.name, got, c.want, share)
+			}
+		}
+	}
+	record := Record{OrderVersion: again.Version, Current: "v1"}
+	in := Input{Orders: []Order{older}, Records: map[id.Service]Record{"viewer": record}, Leader: true}
+	if got := New(0.1).Decide(in, clock.NewFake().Now()); len(got) != 0 {
+		t.Errorf("an order of an earlier era than the record: got %+v, want no write", got)
+	}
+}
+
+// TestStoreEraEarlierRecordIsBehind guards against a completed rollout that is in progress
+// again, and against a record that loses steps, as of an older copy of the store.
+func TestStoreEraEarlierRecordIsBehind(t *testing.T) {
+	record := func(revision uint64, state table.ReleaseState) Record {
+		return Record{Revision: revision, Change: table.ReleaseChange{Old: "v1", New: "v2", State: state}}
+	}
+	for _, c := range []struct {
+		name       string
+		read, last Record
+		want       bool
+	}{
+		{"an earlier step", record(3, table.ReleaseGrowing), record(4, table.ReleaseGrowing), true},
+		{"a later step", record(5, table.ReleaseGrowing), record(4, table.ReleaseGrowing), false},
+		{"a step of a completed change", record(9, table.ReleaseGrowing), record(4, table.ReleaseDone), true},
+		{"the same end", record(4, table.ReleaseDone), record(4, table.ReleaseDone), false},
+	} {
+		if got := c.read.Behind(&c.last); got != c.want {
+			t.Errorf("%s: got behind %v, want %v", c.name, got, c.want)
+		}
+	}
+}
