Ignore late relays of rows that a listing no longer contains

What would be seen: an upstream or another row that was deleted is in use again, until the next full listing.

Cause: a listing leaves no trace of rows that were deleted before it. A copy that never held such a row accepts a late relay of it.

Change: changes up to the version of the last listing add no row.

Evidence: TestLateRelayDoesNotRestoreDeletedRow failed before (got 1 rows, want none).

--- a/pkg/state/mirror/mirror.go
+++ b/pkg/state/mirror/mirror.go
@@ -123,7 +123,11 @@
 	if version.Era != t.version.Era {
 		return nil
 	}
-	changed := t.merge(rows)
+	// A row that the last listing did not contain was deleted before it.
+	changed := t.merge(slices.DeleteFunc(slices.Clone(rows), func(r Row) bool {
+		_, held := t.rows[r.Key]
+		return !held && !t.listed.Before(r.Version)
+	}))
 	if !t.version.Before(base) {
 		t.version = later(t.version, version)
 	}
--- a/pkg/state/mirror/mirror_test.go
+++ b/pkg/state/mirror/mirror_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// TestLateRelayDoesNotRestoreDeletedRow guards against a row that is in use again because a
+// relay of it arrives after a listing that no longer contains it.
+func TestLateRelayDoesNotRestoreDeletedRow(t *testing.T) {
+	c := New()
+	c.ApplyListing(nil, at(9))
+	c.Apply([]Row{{Key: "a", Version: at(8), Value: []byte("old")}}, at(7), at(8))
+	if got := len(c.Rows()); got != 0 {
+		t.Errorf("got %d rows, want none", got)
+	}
+}
+
 func TestOlderRowDoesNotReplaceDeletion(t *testing.T) {
 	c := New()
 	c.Apply([]Row{{Key: "a", Version: at(5), Deleted: true}}, at(0), at(5))
