Keep lapsed entries from the return of the store

Cause: an entry that expires with an outage was kept for 2.2 s from the host's last failed read. Reads back off for up to 0.9 s and time out after 1.2 s, so that read may be long before the return, from which upstreams have two seconds.

Change: such an entry is kept while reads fail and for 2.2 s from the first one that succeeds.

--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -42,9 +42,9 @@
 	upstreamDelayFraction = 0.125
 	// applyAllowance is the time that a host needs to apply a change after reading it.
 	applyAllowance = 500 * time.Millisecond
-	// rewriteTime is how long after the beginning of an era the rows are kept that the store
-	// has lost, and no rollout is begun. Their writers write them again by then; upstreams
-	// take up to 2 s.
+	// rewriteTime is how long rows that the store has lost are kept after the beginning of an
+	// era, and entries of upstreams that have expired after the return of the store. Their
+	// writers write them again by then; upstreams take up to 2 s.
 	rewriteTime = 2200 * time.Millisecond
 	// maxListDelay limits the delay before a host that is not the reader of its region lists
 	// a table of a new era. The reader's listing may arrive first.
@@ -84,8 +84,9 @@
 	feedTimeout, readDelay, staleAge time.Duration
 	// failing is set while reads fail.
 	failing atomic.Bool
-	// lastFailureAt is the instant of the last failed read.
-	lastFailureAt atomic.Int64
+	// recoveredAt is the instant of the first read that succeeded after one that had failed,
+	// 0 if none has failed.
+	recoveredAt atomic.Int64
 	// listed is set once the whole table has been read from the store.
 	listed atomic.Bool
 	// freshAt is the last instant at which the copy was known to be complete.
@@ -133,10 +134,18 @@
 	return changed
 }
 
-// settled reports whether the writers have had the time to write again what the store has
-// lost from a table.
+// rewritten reports whether the writers have had the time to write again what the store has
+// lost with the last era.
+func (t *tableCopy) rewritten(now clock.Instant) bool { return longAgo(t.eraBeganAt.Load(), now) }
+
+// settled reports whether they have also had the time to write again what has expired while
+// the store was unavailable.
 func (t *tableCopy) settled(now clock.Instant) bool {
-	at := t.eraBeganAt.Load()
+	return !t.failing.Load() && longAgo(t.recoveredAt.Load(), now) && t.rewritten(now)
+}
+
+// longAgo reports whether an instant, 0 if there is none, was rewriteTime ago.
+func longAgo(at int64, now clock.Instant) bool {
 	return at == 0 || now.Sub(clock.Instant(at)) >= rewriteTime
 }
 
@@ -144,7 +153,7 @@
 // written again.
 func (c *copies) dropEarlier(now clock.Instant) {
 	for name, table := range c.tables {
-		if !table.keepsEarlier.Load() || !table.settled(now) {
+		if !table.keepsEarlier.Load() || !table.rewritten(now) {
 			continue
 		}
 		table.keepsEarlier.Store(false)
@@ -247,8 +256,8 @@
 // recordResult notes the result of a read, and logs when reads begin to fail and
 // when they succeed again.
 func (c *copies) recordResult(name platform.TableName, table *tableCopy, err error) {
-	if err != nil {
-		table.lastFailureAt.Store(int64(c.clock.Now()))
+	if err == nil && table.failing.Load() {
+		table.recoveredAt.Store(int64(c.clock.Now()))
 	}
 	if failing := err != nil; table.failing.Swap(failing) != failing {
 		if failing {
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -24,12 +24,12 @@
 	coordination := c.host.copies.tables[platform.Coordination]
 	leader := c.host.roster.IsLeader(c.host.leaving.Load(), now) && coordination.listed.Load()
 	// Orders and records may be older than what the store has lost until both are written again.
-	settled := coordination.settled(now) && c.host.copies.tables[platform.Operator].settled(now)
-	if settled {
+	rewritten := coordination.rewritten(now) && c.host.copies.tables[platform.Operator].rewritten(now)
+	if rewritten {
 		c.restoreRecords(ctx, leader, now)
 	}
 	writes := c.rollouts.Decide(rollout.Input{
-		Orders: orders, Records: c.records, Releases: c.host.placer.Releases, Leader: leader && settled,
+		Orders: orders, Records: c.records, Releases: c.host.placer.Releases, Leader: leader && rewritten,
 	}, now)
 	for _, w := range writes {
 		c.commitRecord(ctx, w)
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// lapsedRetention is how long a deleted entry is kept after the last failed read,
-	// because it may have lapsed while the store was unavailable. Live upstreams
-	// have registered again by then.
-	lapsedRetention = 2200 * time.Millisecond
 	// removedRetention is how long a removal is remembered. The store may come back from a
 	// copy that is some seconds old and still has the entry.
 	removedRetention = 30 * time.Second
@@ -52,9 +48,8 @@
 	coldUntil clock.Instant
 	// implausible is set once it has been logged that the entry is not used.
 	implausible bool
-	// lapsed is set if the row was deleted but the entry is kept until expiresAt.
-	lapsed    bool
-	expiresAt clock.Instant
+	// lapsed is set if the row was deleted but the entry is kept until the table is settled.
+	lapsed bool
 }
 
 // removal is the removal of an entry, as known in an era.
@@ -125,10 +120,9 @@
 // remove removes an entry. A live upstream's entry that may have lapsed because the
 // store was unavailable is kept until the upstream has had time to register again.
 func (l *upstreamList) remove(key string, old entry, era mirror.Era, now clock.Instant) {
-	until := clock.Instant(l.host.copies.tables[platform.Upstreams].lastFailureAt.Load()).Add(lapsedRetention)
 	l.changed = true
-	if now < until && old.info.State == fleet.UpstreamLive {
-		old.lapsed, old.expiresAt = true, until
+	if !l.host.copies.tables[platform.Upstreams].settled(now) && old.info.State == fleet.UpstreamLive {
+		old.lapsed = true
 		l.entries[key] = old
 		l.log.With("upstream", old.info.ID).Info("An entry lapsed; waiting for its return.")
 		return
@@ -144,7 +138,7 @@
 	table := l.host.copies.tables[platform.Upstreams]
 	for key, r := range l.removed {
 		switch {
-		case r.restored && table.settled(now):
+		case r.restored && table.rewritten(now):
 			delete(l.removed, key)
 			if row := table.Get(key); !row.Version.IsZero() {
 				l.applyRow(row, now)
@@ -171,8 +165,9 @@
 // refresh interval has passed.
 func (l *upstreamList) step(now clock.Instant) {
 	l.applyRestored(now)
+	settled := l.host.copies.tables[platform.Upstreams].settled(now)
 	for key, e := range l.entries {
-		if e.lapsed && now >= e.expiresAt {
+		if e.lapsed && settled {
 			delete(l.entries, key)
 			l.changed = true
 			l.removed[key] = removal{incarnation: e.info.Incarnation, era: e.era, at: now}
