Begin no rollout while entries of upstreams are missing

What callers saw: a rollout that was ordered 1.93 s after an outage of the store, before all entries were back, was reported completed 20 ms later.

Cause: without a record, the release of most listed upstreams counted as the one that carries the service, also if only the ordered one was listed. Each host likewise replaced its approved release as soon as the last of its entries was missing.

Change: an order without a record begins once all upstreams are listed. rollout.Approved decides on the approved release, for orders and for requests, and keeps the last one while entries may be missing.

--- a/internal/edge/coordination_rows_test.go
+++ b/internal/edge/coordination_rows_test.go
@@ -36,9 +36,9 @@
 			c.Advance(tickInterval)
 			h.controller.step(context.Background(), c.Now())
 		}
-		releases := func(id.Service) map[id.Release]int { return map[id.Release]int{"v1": 3, "v2": 3} }
+		approved := map[id.Service]id.Release{"desk": "v1"}
 		orders := []rollout.Order{h.controller.orders["desk"]}
-		writes := h.controller.rollouts.Decide(rollout.Input{Orders: orders, Records: h.controller.records, Releases: releases, Leader: true}, c.Now())
+		writes := h.controller.rollouts.Decide(rollout.Input{Orders: orders, Records: h.controller.records, Approved: approved, Complete: true, Leader: true}, c.Now())
 		if len(writes) != 1 || writes[0].Record.Version.Number != 7 || writes[0].Record.Change.State != table.ReleaseGrowing {
 			t.Errorf("record %.60s: got writes %+v, want one that replaces version 7", odd, writes)
 		}
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"celerypin.example/celerypin/pkg/coordination/rollout"
@@ -21,7 +22,8 @@
 	for _, o := range c.orders {
 		orders = append(orders, o)
 	}
-	coordination := c.host.copies.tables[platform.Coordination]
+	c.updateApproved(now)
+	coordination, upstreams := c.host.copies.tables[platform.Coordination], c.host.copies.tables[platform.Upstreams]
 	leader := c.host.roster.IsLeader(c.host.leaving.Load(), now) && coordination.listed.Load()
 	// Orders and records may be older than what the store has lost until both are written again.
 	rewritten := coordination.rewritten(now) && c.host.copies.tables[platform.Operator].rewritten(now)
@@ -29,7 +31,9 @@
 		c.restoreRecords(ctx, leader, now)
 	}
 	writes := c.rollouts.Decide(rollout.Input{
-		Orders: orders, Records: c.records, Releases: c.host.placer.Releases, Leader: leader && rewritten,
+		Orders: orders, Records: c.records, Leader: leader && rewritten, Approved: c.approved,
+		// Entries may have expired just before this host started.
+		Complete: upstreams.listed.Load() && upstreams.settled(now) && now.Sub(c.started) >= rewriteTime,
 	}, now)
 	for _, w := range writes {
 		c.commitRecord(ctx, w)
@@ -41,7 +45,6 @@
 		}
 	}
 	c.host.splits.Set(changes, c.rollouts.IsBad)
-	c.updateApproved()
 }
 
 // restoreRecords writes the records again that the store has lost. A host that is not the
@@ -181,37 +184,21 @@
 }
 
 // updateApproved publishes the approved release of each service.
-func (c *controller) updateApproved() {
+func (c *controller) updateApproved(now clock.Instant) {
 	state := *c.host.state.Load()
 	// Without the rollout orders and records, a release that is not approved could
 	// be mistaken for the approved one.
 	if state == nil || !c.host.copies.known(platform.Operator) || !c.host.copies.known(platform.Coordination) {
 		return
 	}
+	settled := c.host.copies.tables[platform.Upstreams].settled(now)
 	next := map[id.Service]id.Release{}
 	for _, s := range state.Services {
-		next[s.Name] = c.chooseApproved(s.Name)
+		record, releases := c.records[s.Name], c.host.placer.Releases(s.Name)
+		next[s.Name] = rollout.Approved(&record, c.approved[s.Name], releases, c.orders[s.Name].To, settled)
 	}
-	for name, r := range next {
-		if c.approved[name] != r {
-			c.approved = next
-			c.host.approved.Store(next)
-			return
-		}
+	if !maps.Equal(c.approved, next) {
+		c.approved = next
+		c.host.approved.Store(next)
 	}
 }
-
-// chooseApproved chooses the approved release of a service: the current release of
-// its rollout record or, without a record, the release of most upstreams.
-func (c *controller) chooseApproved(service id.Service) id.Release {
-	r, known := c.records[service]
-	if known && r.Current != "" {
-		return r.Current
-	}
-	mostDeployed := rollout.MostDeployed(c.host.placer.Releases(service), c.orders[service].To)
-	// Without a record, the approved release stays approved as long as it has upstreams.
-	if current := c.approved[service]; current != "" && (mostDeployed == "" || c.host.placer.Releases(service)[current] > 0) {
-		return current
-	}
-	return mostDeployed
-}
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -150,8 +150,12 @@
 type Input struct {
 	Orders  []Order
 	Records map[id.Service]Record
-	// Releases returns the number of upstreams of each release of a service.
-	Releases func(id.Service) map[id.Release]int
+	// Approved holds the release that carries each service outside a rollout, as Approved
+	// returns it.
+	Approved map[id.Service]id.Release
+	// Complete is set if all upstreams are listed. Entries of upstreams that run may be missing
+	// for a while after an outage of the store.
+	Complete bool
 	// Leader is set if this host writes the records.
 	Leader bool
 }
@@ -210,7 +214,7 @@
 		// The order is that of a copy which has not been read in this era.
 		return Write{}, false
 	case !hasRecord || !r.executes(o):
-		return c.begin(o, r, hasRecord, in.Releases(o.Service))
+		return c.begin(o, r, in)
 	case r.OrderVersion.Number != o.Version.Number:
 		r.OrderVersion = o.Version
 		return Write{Record: r, Publish: true}, true
@@ -229,12 +233,12 @@
 	return c.advance(o, r, now)
 }
 
-// begin returns the first record of an order. It returns false as long as the service
-// has neither a record nor any upstream.
-func (c *Controller) begin(o Order, r Record, hasRecord bool, releases map[id.Release]int) (Write, bool) {
+// begin returns the first record of an order. It returns false as long as it is not known
+// which release carries the service.
+func (c *Controller) begin(o Order, r Record, in Input) (Write, bool) {
 	current := r.Current
-	if !hasRecord {
-		if current = MostDeployed(releases, o.To); current == "" {
+	if current == "" {
+		if current = in.Approved[o.Service]; current == "" || !in.Complete {
 			return Write{}, false
 		}
 	}
@@ -283,9 +287,24 @@
 	return Write{Record: r}, true
 }
 
-// MostDeployed returns the release with the largest number of upstreams, or "" if
+// Approved returns the release that carries a service outside a rollout: that of its record
+// or, without a record, the last one as long as it has upstreams, and then the
+// release of most upstreams. Complete states whether all upstreams are listed; an entry that
+// is missing may otherwise come back.
+func Approved(r *Record, last id.Release, releases map[id.Release]int, ordered id.Release, complete bool) id.Release {
+	if r.Current != "" {
+		return r.Current
+	}
+	most := mostDeployed(releases, ordered)
+	if last != "" && (!complete || most == "" || releases[last] > 0) {
+		return last
+	}
+	return most
+}
+
+// mostDeployed returns the release with the largest number of upstreams, or "" if
 // there is none. The unapproved release is returned only if there is no other.
-func MostDeployed(releases map[id.Release]int, unapproved id.Release) id.Release {
+func mostDeployed(releases map[id.Release]int, unapproved id.Release) id.Release {
 	names := make([]id.Release, 0, len(releases))
 	for name := range releases {
 		names = append(names, name)
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -72,7 +72,7 @@
 func (s *simulation) input() Input {
 	return Input{
 		Orders: []Order{s.order}, Records: s.records, Leader: true,
-		Releases: func(id.Service) map[id.Release]int { return map[id.Release]int{"v1": 9, "v2": 9} },
+		Approved: map[id.Service]id.Release{"viewer": "v1"}, Complete: true,
 	}
 }
 
@@ -126,7 +126,7 @@
 	c := New(0.1)
 	in := Input{
 		Orders: []Order{{Service: "viewer", To: "v2", Within: time.Second, Version: mirror.Version{Number: 3}}}, Leader: true,
-		Releases: func(id.Service) map[id.Release]int { return nil },
+		Complete: true,
 	}
 	if got := c.Decide(in, clock.NewFake().Now()); len(got) != 0 {
 		t.Errorf("got %d writes without any upstream, want none", len(got))
@@ -203,7 +203,7 @@
 		}
 		in := Input{
 			Orders: []Order{c.order}, Records: map[id.Service]Record{"viewer": record}, Leader: true,
-			Releases: func(id.Service) map[id.Release]int { return map[id.Release]int{"v1": 3, "v2": 3, "v3": 3} },
+			Approved: map[id.Service]id.Release{"viewer": "v1"}, Complete: true,
 		}
 		writes := New(0.1).Decide(in, clock.NewFake().Now())
 		switch {
@@ -248,3 +248,43 @@
 		}
 	}
 }
+
+// TestOrderWaitsForMissingEntries guards against a rollout that is reported completed at once,
+// because the entries of the release that carries the service have expired with an outage of
+// the store and are not back yet.
+func TestOrderWaitsForMissingEntries(t *testing.T) {
+	const old, next = id.Release("v1"), id.Release("v2")
+	order := Order{Service: "viewer", To: next, Within: 15 * time.Second, Version: mirror.Version{Number: 7}}
+	onlyNext, both := map[id.Release]int{next: 3}, map[id.Release]int{old: 3, next: 3}
+	for _, c := range []struct {
+		name     string
+		record   Record
+		last     id.Release
+		listed   map[id.Release]int
+		complete bool
+		// want is the release that the rollout replaces, "" if none begins.
+		want id.Release
+	}{
+		{"entries are missing", Record{}, old, onlyNext, false, ""},
+		{"entries are missing after a restart", Record{}, "", onlyNext, false, ""},
+		{"all are back", Record{}, old, both, true, old},
+		{"a rollout was recorded", Record{Current: old, OrderVersion: mirror.Version{Number: 2}}, "", onlyNext, false, old},
+		{"the old release is gone", Record{}, old, onlyNext, true, next},
+		{"nothing is listed", Record{}, old, nil, true, old},
+	} {
+		in := Input{
+			Orders: []Order{order}, Records: map[id.Service]Record{"viewer": c.record}, Complete: c.complete, Leader: true,
+			Approved: map[id.Service]id.Release{"viewer": Approved(&c.record, c.last, c.listed, order.To, c.complete)},
+		}
+		got := id.Release("")
+		for _, w := range New(0.1).Decide(in, clock.NewFake().Now()) {
+			got = w.Record.Change.Old
+			if done := w.Record.Change.State == table.ReleaseDone; done != (got == next) {
+				t.Errorf("%s: got state %s in place of %s", c.name, w.Record.Change.State, got)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: got a rollout in place of %q, want %q", c.name, got, c.want)
+		}
+	}
+}
