Record the release that carries a service without a rollout

Cause: without a rollout, the approved release was known in each process's memory only. After a start it was that of most upstreams and, at a tie, the first by name.

Change: the leader records the approved release of a service that has no order, as a completed change from that release to itself. Earlier builds accept such a record. It gives way if the release has no upstreams any more, and to any order.

--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 // with an era, and that the operator has written again, is the same order.
 func (r *Record) executes(o Order) bool {
 	return r.OrderVersion == o.Version ||
-		r.OrderVersion.Era < o.Version.Era && r.Change.New == o.To && r.Change.Deadline == config.Duration(o.Within)
+		!r.isBaseline() && r.OrderVersion.Era < o.Version.Era && r.Change.New == o.To && r.Change.Deadline == config.Duration(o.Within)
 }
 
 // Behind reports whether the record is earlier than last, which was read in an earlier era.
@@ -61,6 +62,9 @@
 	return r.Revision < last.Revision
 }
 
+// isBaseline reports whether the record only states which release carries the service.
+func (r *Record) isBaseline() bool { return r.Current != "" && r.OrderVersion.IsZero() }
+
 // ErrInvalid means that a record cannot have been written by a Controller.
 var ErrInvalid = errors.New("invalid rollout record")
 
@@ -202,9 +206,29 @@
 			writes = append(writes, w)
 		}
 	}
+	for _, service := range slices.Sorted(maps.Keys(in.Approved)) {
+		if w, due := baseline(service, in); due && in.Leader {
+			w.Record.Revision++
+			writes = append(writes, w)
+		}
+	}
 	return writes
 }
 
+// baseline returns the record of the release that carries a service which has no order.
+// Hosts that start later have not seen which release was there first.
+func baseline(service id.Service, in Input) (Write, bool) {
+	r, approved := in.Records[service], in.Approved[service]
+	ordered := slices.ContainsFunc(in.Orders, func(o Order) bool { return o.Service == service })
+	if ordered || !in.Complete || approved == "" || approved == r.Current || (r.Current != "" && !r.isBaseline()) {
+		return Write{}, false
+	}
+	return Write{Record: Record{
+		Service: service, Current: approved, Revision: r.Revision, Version: r.Version,
+		Change: table.ReleaseChange{Service: service, Old: approved, New: approved, Share: table.Whole, State: table.ReleaseDone},
+	}}, true
+}
+
 func (c *Controller) decideOrder(o Order, in Input, now clock.Instant) (Write, bool) {
 	r, hasRecord := in.Records[o.Service]
 	// A record that holds only its version takes the place of an invalid row.
@@ -237,7 +261,7 @@
 // which release carries the service.
 func (c *Controller) begin(o Order, r Record, in Input) (Write, bool) {
 	current := r.Current
-	if current == "" {
+	if current == "" || r.isBaseline() {
 		if current = in.Approved[o.Service]; current == "" || !in.Complete {
 			return Write{}, false
 		}
@@ -288,12 +312,15 @@
 }
 
 // Approved returns the release that carries a service outside a rollout: that of its record
-// or, without a record, the last one as long as it has upstreams, and then the
+// or, without the record of a rollout, the last one as long as it has upstreams, and then the
 // release of most upstreams. Complete states whether all upstreams are listed; an entry that
 // is missing may otherwise come back.
 func Approved(r *Record, last id.Release, releases map[id.Release]int, ordered id.Release, complete bool) id.Release {
 	if r.Current != "" {
-		return r.Current
+		if !r.isBaseline() {
+			return r.Current
+		}
+		last = r.Current
 	}
 	most := mostDeployed(releases, ordered)
 	if last != "" && (!complete || most == "" || releases[last] > 0) {
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -267,9 +267,11 @@
 	}{
 		{"entries are missing", Record{}, old, onlyNext, false, ""},
 		{"entries are missing after a restart", Record{}, "", onlyNext, false, ""},
+		{"entries are missing, and the release was recorded", Record{Current: old}, "", onlyNext, false, ""},
 		{"all are back", Record{}, old, both, true, old},
+		{"all are back after a restart", Record{Current: old}, "", both, true, old},
+		{"the old release is gone", Record{Current: old}, old, onlyNext, true, next},
 		{"a rollout was recorded", Record{Current: old, OrderVersion: mirror.Version{Number: 2}}, "", onlyNext, false, old},
-		{"the old release is gone", Record{}, old, onlyNext, true, next},
 		{"nothing is listed", Record{}, old, nil, true, old},
 	} {
 		in := Input{
@@ -288,3 +290,25 @@
 		}
 	}
 }
+
+// TestRestartKeepsRecordedRelease guards against a host that sends requests to a release that
+// nothing ordered, because it has started while upstreams of both releases were there.
+func TestRestartKeepsRecordedRelease(t *testing.T) {
+	approved := Approved(&Record{}, "", map[id.Release]int{"v9": 3}, "", true)
+	in := Input{Records: map[id.Service]Record{}, Approved: map[id.Service]id.Release{"viewer": approved}, Complete: true, Leader: true}
+	writes := New(0.1).Decide(in, clock.NewFake().Now())
+	if len(writes) != 1 || writes[0].Publish {
+		t.Fatalf("got writes %+v, want the release that carries the service, without a status", writes)
+	}
+	record := writes[0].Record
+	if err := record.Validate(); err != nil {
+		t.Errorf("got %v, want a record that earlier builds accept", err)
+	}
+	if got, want := Approved(&record, "", map[id.Release]int{"v9": 3, "v10": 3}, "", true), id.Release("v9"); got != want {
+		t.Errorf("got release %s after a restart, want %s", got, want)
+	}
+	in.Records["viewer"] = record
+	if got := New(0.1).Decide(in, clock.NewFake().Now()); len(got) != 0 {
+		t.Errorf("got %+v for a recorded release, want no write", got)
+	}
+}
