Allow for the old release's few requests when releases are compared

What operators would see: a good release is rolled back, under load or with answers that both releases give, in about 3 of 100 rollouts of the simulation.

Cause: the comparison took the old release's proportion for exact. At a share of three quarters the old release has the fewer requests, and its proportion deviates more than the new one's.

Change: the deviation includes that of the old release's requests.

Evidence: TestRollouts with 100 seeds in place of 20 failed before (seeds 47, 62 and 63, got retreated, want done).

--- a/pkg/coordination/release/evaluator.go
+++ b/pkg/coordination/release/evaluator.go
@@ -128,14 +128,19 @@
 		return false
 	}
 	baseline := max(float64(baselineBad+1)/float64(baselineN+2), minBaselineProportion)
+	samples := 1 / float64(n)
 	if baselineN == 0 {
 		baseline = minBaselineProportion
+	} else {
+		// Once the new release has most of the requests, the old one's proportion is the less
+		// certain of the two.
+		samples += 1 / float64(baselineN)
 	}
 	proportion := float64(bad) / float64(n)
 	if proportion-baseline < minDifference {
 		return false
 	}
-	deviation := math.Sqrt(baseline * (1 - baseline) / float64(n))
+	deviation := math.Sqrt(baseline * (1 - baseline) * samples)
 	return (proportion-baseline)/deviation > maxScore
 }
 
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -90,7 +90,7 @@
 	s.counts[rr] = s.counts[rr].Add(c)
 }
 
-// TestRollouts runs each rollout with 20 seeds. A good release must be finished in
+// TestRollouts runs each rollout with 100 seeds. A good release must be finished in
 // time; a bad one must be taken back, and must have served at most 50 requests more
 // than a tenth of all.
 func TestRollouts(t *testing.T) {
@@ -109,7 +109,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			for seed := range uint64(20) {
+			for seed := range uint64(100) {
 				s := newSimulation(seed)
 				if got := s.run(250, c.old, c.next); got != c.want {
 					t.Errorf("seed %d: got %s, want %s", seed, got, c.want)
