Count answers that are no success against a release

Cause: only statuses from 500 on counted as failures, so the comparison with the old release never saw the others.

Change: signed answers from 300 to 499 are counted as rejected, also those of cold upstreams, and reported between hosts in a field that earlier builds ignore. A release is bad if its failures and rejections together are clearly more than the old one's. As many of the old release's do not count against the new one, and do not hold its share. The own interface counts them, too.

Evidence: without the comparison, "half of the answers are rejections" of TestRollouts and "rejects" of TestEvaluator fail.

--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -205,9 +205,9 @@
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
 }
 
-// read reads the changes since the copy's version, or the whole table if it was
-// not read before, the store has compacted its history, or a new era has begun. It returns the rows
-// that were new to the copy.
+// read reads the changes since the copy's version, or the whole table if it was not read
+// before, the store has compacted its history, or a new era has begun. It returns the rows that
+// were new to the copy.
 func (c *copies) read(ctx context.Context, name platform.TableName, table *tableCopy) ([]mirror.Row, error) {
 	if table.listed.Load() {
 		after := table.Version()
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -145,7 +145,8 @@
 	c.log.With("service", change.Service).With("release", change.New).With("step", w.Record.Step).With("share_milli", change.Share).
 		With("state", change.State).With("reason", change.Reason).
 		With("requests", after.Requests).With("failed", after.Failed).With("slow", after.Slow).
-		With("old_requests", before.Requests).With("old_failed", before.Failed).With("old_slow", before.Slow).Info("Rollout step decided.")
+		With("rejected", after.Rejected).With("turned_away", after.TurnedAway).
+		With("old_requests", before.Requests).With("old_failed", before.Failed).With("old_slow", before.Slow).With("old_rejected", before.Rejected).With("old_turned_away", before.TurnedAway).Info("Rollout step decided.")
 	key := releasePrefix + string(w.Record.Service)
 	puts := []platform.Put{{Table: platform.Coordination, Key: key, Value: data, Conditional: true, Expected: w.Record.Version}}
 	if w.Publish {
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -121,6 +121,8 @@
 		e.Result = steer.AnsweredTimeout
 	case a.Status >= http.StatusInternalServerError:
 		e.Result = steer.AnsweredFailure
+	default:
+		e.Rejected = a.Status >= http.StatusMultipleChoices
 	}
 	delivered := e.Result == steer.Answered || e.Result == steer.AnsweredFailure || e.Result == steer.AnsweredTimeout
 	if !delivered && a.Rest != nil {
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -99,6 +99,7 @@
 		// The store has lost the report that the upstream leaves.
 		info.State = old.info.State
 	}
+	delete(l.removed, row.Key)
 	next := entry{info: info, era: row.Version.Era}
 	switch {
 	case newEra && old.info == info:
--- a/internal/protocol/gossip/bulletin.go
+++ b/internal/protocol/gossip/bulletin.go
@@ -28,6 +28,7 @@
 	RequestRate  float32                 `cbor:"6,keyasint,omitempty"`
 	Outcomes     codec.Arrays[outcome]   `cbor:"7,keyasint,omitempty"`
 	BadReleases  codec.Arrays[releaseID] `cbor:"8,keyasint,omitempty"`
+	Refusals     codec.Arrays[refusals]  `cbor:"9,keyasint,omitempty"`
 }
 
 type totals struct {
@@ -51,7 +52,7 @@
 		out.Notices = append(out.Notices, notice{
 			Host: n.Host, Incarnation: n.Incarnation, AgeMS: uint32(min(n.Age.Milliseconds(), math.MaxUint32)),
 			Leaving: n.Leaving, ReadsFailing: n.ReadsFailing, RequestRate: float32(n.RequestRate),
-			Outcomes: outcomesToWire(n.ReleaseCounts), BadReleases: releasesToWire(n.BadReleases),
+			Outcomes: outcomesToWire(n.ReleaseCounts), BadReleases: releasesToWire(n.BadReleases), Refusals: refusalsToWire(n.ReleaseCounts),
 		})
 	}
 	for region, t := range b.Totals {
@@ -66,7 +67,7 @@
 		out.Notices = append(out.Notices, roster.Notice{
 			Host: n.Host, Incarnation: n.Incarnation, Age: time.Duration(n.AgeMS) * time.Millisecond,
 			Leaving: n.Leaving, ReadsFailing: n.ReadsFailing, RequestRate: positive(n.RequestRate),
-			ReleaseCounts: outcomesFromWire(n.Outcomes), BadReleases: releasesFromWire(n.BadReleases),
+			ReleaseCounts: outcomesFromWire(n.Outcomes, n.Refusals), BadReleases: releasesFromWire(n.BadReleases),
 		})
 	}
 	for region, t := range b.Totals {
--- a/internal/protocol/gossip/gossip.go
+++ b/internal/protocol/gossip/gossip.go
@@ -74,6 +74,7 @@
 	Quotas       codec.Arrays[accountReport] `cbor:"quotas,omitempty"`
 	RequestRate  float32                     `cbor:"requests"`
 	Outcomes     codec.Arrays[outcome]       `cbor:"outcomes,omitempty"`
+	Refusals     codec.Arrays[refusals]      `cbor:"refusals,omitempty"`
 	BadReleases  codec.Arrays[releaseID]     `cbor:"bad,omitempty"`
 }
 
@@ -108,6 +109,17 @@
 	Slow     uint64
 }
 
+// refusals are the counts of a release that outcomes lack. An outcome of an earlier build, which
+// has no such element, could not be decoded as a longer array.
+type refusals struct {
+	_          struct{} `cbor:",toarray"`
+	Service    id.Service
+	Release    id.Release
+	Route      id.Route
+	Rejected   uint64
+	TurnedAway uint64
+}
+
 type releaseID struct {
 	_       struct{} `cbor:",toarray"`
 	Service id.Service
@@ -253,7 +265,8 @@
 		out.CopyAges[table] = uint32(min(age.Milliseconds(), math.MaxUint32))
 	}
 	out.Quotas = quotasToWire(d.Quota)
-	out.Outcomes, out.BadReleases = outcomesToWire(d.ReleaseCounts), releasesToWire(d.BadReleases)
+	out.Outcomes, out.Refusals = outcomesToWire(d.ReleaseCounts), refusalsToWire(d.ReleaseCounts)
+	out.BadReleases = releasesToWire(d.BadReleases)
 	if d.CountsUsage {
 		out.CopyAges[usageKey] = 1
 	}
@@ -273,12 +286,29 @@
 	return out
 }
 
-func outcomesFromWire(outcomes []outcome) map[release.RouteRelease]release.Counts {
+// refusalsToWire returns the refusals of the releases that have some.
+func refusalsToWire(counts map[release.RouteRelease]release.Counts) []refusals {
+	var out []refusals
+	for rr, c := range counts {
+		if c.Rejected > 0 || c.TurnedAway > 0 {
+			out = append(out, refusals{Service: rr.Service, Release: rr.Release, Route: rr.Route, Rejected: c.Rejected, TurnedAway: c.TurnedAway})
+		}
+	}
+	return out
+}
+
+func outcomesFromWire(outcomes []outcome, refused []refusals) map[release.RouteRelease]release.Counts {
 	out := map[release.RouteRelease]release.Counts{}
 	for _, o := range outcomes {
 		out[release.RouteRelease{Service: o.Service, Release: o.Release, Route: o.Route}] =
 			release.Counts{Requests: o.Requests, Failed: o.Failed, Slow: o.Slow}
 	}
+	for _, r := range refused {
+		rr := release.RouteRelease{Service: r.Service, Release: r.Release, Route: r.Route}
+		c := out[rr]
+		c.Rejected, c.TurnedAway = r.Rejected, r.TurnedAway
+		out[rr] = c
+	}
 	return out
 }
 
@@ -324,7 +354,7 @@
 		Leaving: d.Leaving, Follows: d.Follows, HoldsPool: d.HoldsPool, QuotaKept: d.QuotaKept, Versions: versionsOf(d.Versions, d.Eras), LastChange: versionsOf(d.LastChange, d.Eras), ReadsFailing: d.ReadsFailing, RequestRate: positive(d.RequestRate),
 		CopyAges:      map[string]time.Duration{},
 		Quota:         quota.Report{Demand: map[id.Account]float64{}, Part: map[id.Account]float64{}},
-		ReleaseCounts: outcomesFromWire(d.Outcomes), BadReleases: releasesFromWire(d.BadReleases),
+		ReleaseCounts: outcomesFromWire(d.Outcomes, d.Refusals), BadReleases: releasesFromWire(d.BadReleases),
 		Unheard: map[id.FailureDomain]float64{},
 	}
 	for key, n := range d.CopyAges {
--- a/internal/protocol/gossip/gossip_test.go
+++ b/internal/protocol/gossip/gossip_test.go
@@ -29,7 +29,7 @@
 	message Message
 } {
 	subject := release.RouteRelease{Service: "desk", Release: "v2", Route: "swaps"}
-	outcomes := map[release.RouteRelease]release.Counts{subject: {Requests: 9, Failed: 1, Slow: 2}}
+	outcomes := map[release.RouteRelease]release.Counts{subject: {Requests: 9, Failed: 1, Slow: 2, Rejected: 3, TurnedAway: 4}}
 	digest := &roster.Digest{
 		Incarnation: 7, Sequence: 12, Host: fleet.Host{ID: "host-a", Region: "west", FailureDomain: "west-a", Address: "10.0.0.1:80", Capacity: 500},
 		Follows: true, HoldsPool: true, Versions: map[string]mirror.Version{"op": {Era: 2, Number: 9}}, LastChange: map[string]mirror.Version{"op": {Era: 2, Number: 4}}, CopyAges: map[string]time.Duration{"op": 40 * time.Millisecond},
--- a/internal/protocol/host/host.go
+++ b/internal/protocol/host/host.go
@@ -56,6 +56,7 @@
 	Marks           *marks                     `cbor:"marks,omitempty"`
 	Budgets         codec.Arrays[budgetReport] `cbor:"levels,omitempty"`
 	Outcomes        codec.Arrays[outcome]      `cbor:"outcomes,omitempty"`
+	Rejections      codec.Arrays[rejection]    `cbor:"rejections,omitempty"`
 }
 
 // budgetReport is encoded as an array, because a heartbeat holds many.
@@ -110,6 +111,16 @@
 	Slow     uint64
 }
 
+// rejection is the number of a release's requests that were rejected. An outcome of an earlier
+// build, which has no such element, could not be decoded as a longer array.
+type rejection struct {
+	_        struct{} `cbor:",toarray"`
+	Service  id.Service
+	Release  id.Release
+	Route    id.Route
+	Requests uint64
+}
+
 var envelopeCodec codec.Codec[Envelope] = codec.CBOR[Envelope]{}
 
 // Codec encodes and decodes the messages between entry hosts for their mesh.
@@ -196,6 +207,10 @@
 	}
 	for _, o := range h.ReleaseCounts {
 		out.Outcomes = append(out.Outcomes, outcomeToWire(o))
+		if o.Counts.Rejected > 0 {
+			rr := o.RouteRelease
+			out.Rejections = append(out.Rejections, rejection{Service: rr.Service, Release: rr.Release, Route: rr.Route, Requests: o.Counts.Rejected})
+		}
 	}
 	for _, b := range h.Budgets {
 		out.Budgets = append(out.Budgets, budgetReport{Account: b.Account, Demand: b.Demand, Lendable: b.Lendable, AppliedRevision: b.AppliedRevision})
@@ -213,8 +228,14 @@
 	if h.Marks != nil {
 		out.Marks = *marksFromWire(h.Marks)
 	}
+	rejected := map[release.RouteRelease]uint64{}
+	for _, r := range h.Rejections {
+		rejected[release.RouteRelease{Service: r.Service, Release: r.Release, Route: r.Route}] = r.Requests
+	}
 	for _, o := range h.Outcomes {
-		out.ReleaseCounts = append(out.ReleaseCounts, outcomeFromWire(o))
+		counts := outcomeFromWire(o)
+		counts.Counts.Rejected = rejected[counts.RouteRelease]
+		out.ReleaseCounts = append(out.ReleaseCounts, counts)
 	}
 	for _, b := range h.Budgets {
 		out.Budgets = append(out.Budgets, agent.BudgetReport{Account: b.Account, Demand: b.Demand, Lendable: b.Lendable, AppliedRevision: b.AppliedRevision})
--- a/internal/protocol/host/host_test.go
+++ b/internal/protocol/host/host_test.go
@@ -38,7 +38,7 @@
 			Incarnation: 7, Region: "western", FailureDomain: "western-a", Sent: 12, Echo: 11, EchoDelay: 3,
 			ReadAge: agent.Age{Known: true, Elapsed: 5}, TableReadAge: agent.Age{Known: true}, CompleteRevision: 42, ConfigRevision: 6,
 			Marks: agent.Marks{Keys: []key.Hash{hash}}, Budgets: []agent.BudgetReport{{Account: "parish", Demand: unit.Whole(2), Lendable: unit.Token, AppliedRevision: 41}},
-			ReleaseCounts: []agent.ReleaseCounts{{RouteRelease: release.RouteRelease{Service: "rota-viewer", Release: "v2", Route: "rota"}, Counts: release.Counts{Requests: 9, Failed: 1, Slow: 2}}},
+			ReleaseCounts: []agent.ReleaseCounts{{RouteRelease: release.RouteRelease{Service: "rota-viewer", Release: "v2", Route: "rota"}, Counts: release.Counts{Requests: 9, Failed: 1, Slow: 2, Rejected: 3}}},
 		}}},
 		{"relay", agent.Message{Relay: &agent.Relay{Changes: table.Changes{After: 1, Revision: 3, Rows: []table.Row{
 			{Key: table.ConfigKey, Revision: 2, Operation: "op", Config: &cfg},
--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -287,8 +287,11 @@
 	}
 	subject := release.RouteRelease{Service: upstream.Info.Service, Release: upstream.Info.Release, Route: x.admission.Route.ID}
 	outcome := release.Answered
-	if err != nil || response.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case err != nil || response.StatusCode >= http.StatusInternalServerError:
 		outcome = release.Failed
+	case response.StatusCode >= http.StatusMultipleChoices:
+		outcome = release.Rejected
 	}
 	x.server.Recorder.Record(subject, x.server.Clock.Now().Sub(start), outcome)
 }
--- a/pkg/coordination/release/evaluator.go
+++ b/pkg/coordination/release/evaluator.go
@@ -114,6 +114,11 @@
 	if clearlyWorse(nextCounts.Failed, nextCounts.Requests, baseline.Failed, baseline.Requests) {
 		return fmt.Sprintf("%d of %d failed, of the old release %d of %d", nextCounts.Failed, nextCounts.Requests, baseline.Failed, baseline.Requests), true
 	}
+	// A client's mistake is rejected by both releases.
+	unsuccessful, baselineUnsuccessful := nextCounts.Failed+nextCounts.Rejected, baseline.Failed+baseline.Rejected
+	if clearlyWorse(unsuccessful, nextCounts.Requests, baselineUnsuccessful, baseline.Requests) {
+		return fmt.Sprintf("%d of %d had no success, of the old release %d of %d", unsuccessful, nextCounts.Requests, baselineUnsuccessful, baseline.Requests), true
+	}
 	if clearlyWorse(nextCounts.Slow, nextCounts.Requests, baseline.Slow, baseline.Requests) {
 		return fmt.Sprintf("%d of %d were slow, of the old release %d of %d", nextCounts.Slow, nextCounts.Requests, baseline.Slow, baseline.Requests), true
 	}
--- a/pkg/coordination/release/recorder.go
+++ b/pkg/coordination/release/recorder.go
@@ -20,21 +20,38 @@
 // Counts are the numbers of requests by outcome since the start of a host's
 // incarnation.
 type Counts struct {
-	// Requests includes the failed and the slow ones.
+	// Requests includes all but those that were turned away.
 	Requests uint64
 	Failed   uint64
-	// Slow does not include failed requests.
+	// Slow does not include failed and rejected requests.
 	Slow uint64
+	// Rejected are the requests that were answered neither with success nor with a failure of
+	// the upstream. They may be the clients' fault, also all of them.
+	Rejected uint64
+	// TurnedAway are the requests that did not run because the upstream refused them or the
+	// connection.
+	TurnedAway uint64
 }
 
 // Add returns the sum of two counts.
 func (c Counts) Add(d Counts) Counts {
-	return Counts{Requests: c.Requests + d.Requests, Failed: c.Failed + d.Failed, Slow: c.Slow + d.Slow}
+	return Counts{
+		Requests: c.Requests + d.Requests, Failed: c.Failed + d.Failed, Slow: c.Slow + d.Slow,
+		Rejected: c.Rejected + d.Rejected, TurnedAway: c.TurnedAway + d.TurnedAway,
+	}
 }
 
 // Sub returns the difference to earlier counts, which must not exceed c.
 func (c Counts) Sub(d Counts) Counts {
-	return Counts{Requests: c.Requests - d.Requests, Failed: c.Failed - d.Failed, Slow: c.Slow - d.Slow}
+	return Counts{
+		Requests: c.Requests - d.Requests, Failed: c.Failed - d.Failed, Slow: c.Slow - d.Slow,
+		Rejected: c.Rejected - d.Rejected, TurnedAway: c.TurnedAway - d.TurnedAway,
+	}
+}
+
+// Covers reports whether no count is below that of d, as of a later report of an incarnation.
+func (c Counts) Covers(d Counts) bool {
+	return c.Requests >= d.Requests && c.Failed >= d.Failed && c.Slow >= d.Slow && c.Rejected >= d.Rejected && c.TurnedAway >= d.TurnedAway
 }
 
 // Recorder counts the outcomes of requests. It is safe for concurrent use. Counting
@@ -48,7 +65,7 @@
 	usualLatency *rcu.Cell[map[serviceRoute]*atomic.Int64]
 }
 
-type counters struct{ requests, failed, slow atomic.Uint64 }
+type counters struct{ requests, failed, slow, rejected, turnedAway atomic.Uint64 }
 
 // serviceRoute is a service on one route; its usual latency is that of the old
 // release.
@@ -80,6 +97,9 @@
 	Answered Outcome = iota
 	// Failed means that the upstream answered that the request has failed.
 	Failed
+	// Rejected means that the upstream ran the request and answered neither with success nor
+	// with a failure of its own.
+	Rejected
 	// Unanswered means that no answer arrived in the time that the request had. It counts as
 	// slow whatever the usual latency is, because that time may be shorter than the latency
 	// from which an answer is slow. It does not count as failed, because any release may be
@@ -102,9 +122,13 @@
 	}
 	c := r.countersOf(rr)
 	c.requests.Add(1)
-	if outcome == Failed {
+	switch outcome {
+	case Failed:
 		c.failed.Add(1)
 		return
+	case Rejected:
+		c.rejected.Add(1)
+		return
 	}
 	if slow || outcome == Unanswered {
 		c.slow.Add(1)
@@ -154,7 +178,9 @@
 	out := map[RouteRelease]Counts{}
 	for rr, c := range *r.counts.Load() {
 		if _, isSplit := r.splits.Get(rr.Service); isSplit {
-			out[rr] = Counts{Requests: c.requests.Load(), Failed: c.failed.Load(), Slow: c.slow.Load()}
+			out[rr] = Counts{
+				Requests: c.requests.Load(), Failed: c.failed.Load(), Slow: c.slow.Load(), Rejected: c.rejected.Load(), TurnedAway: c.turnedAway.Load(),
+			}
 		}
 	}
 	return out
--- a/pkg/coordination/release/release_test.go
+++ b/pkg/coordination/release/release_test.go
@@ -112,14 +112,19 @@
 		old, new Counts
 		want     bool
 	}{
-		{"no requests", Counts{1000, 0, 0}, Counts{}, false},
-		{"good", Counts{1000, 1, 1}, Counts{50, 0, 0}, false},
-		{"a few failures", Counts{1000, 1, 1}, Counts{50, 3, 0}, false},
-		{"as bad as the old one", Counts{1000, 300, 0}, Counts{100, 35, 0}, false},
-		{"fails", Counts{1000, 1, 0}, Counts{20, 8, 0}, true},
-		{"is slow", Counts{1000, 0, 2}, Counts{20, 0, 10}, true},
-		{"fails while the old one is not used", Counts{}, Counts{20, 8, 0}, true},
-		{"clearly worse than a bad old one", Counts{1000, 300, 0}, Counts{100, 80, 0}, true},
+		{"no requests", Counts{Requests: 1000, Failed: 0, Slow: 0}, Counts{}, false},
+		{"good", Counts{Requests: 1000, Failed: 1, Slow: 1}, Counts{Requests: 50, Failed: 0, Slow: 0}, false},
+		{"a few failures", Counts{Requests: 1000, Failed: 1, Slow: 1}, Counts{Requests: 50, Failed: 3, Slow: 0}, false},
+		{"as bad as the old one", Counts{Requests: 1000, Failed: 300, Slow: 0}, Counts{Requests: 100, Failed: 35, Slow: 0}, false},
+		{"fails", Counts{Requests: 1000, Failed: 1, Slow: 0}, Counts{Requests: 20, Failed: 8, Slow: 0}, true},
+		{"is slow", Counts{Requests: 1000, Failed: 0, Slow: 2}, Counts{Requests: 20, Failed: 0, Slow: 10}, true},
+		{"fails while the old one is not used", Counts{}, Counts{Requests: 20, Failed: 8, Slow: 0}, true},
+		{"rejects", Counts{Requests: 1000}, Counts{Requests: 20, Rejected: 8}, true},
+		{"rejects and fails", Counts{Requests: 1000, Failed: 1}, Counts{Requests: 40, Failed: 3, Rejected: 3}, true},
+		{"rejects as many as the old one", Counts{Requests: 1000, Rejected: 500}, Counts{Requests: 100, Rejected: 55}, false},
+		{"rejects fewer than the old one", Counts{Requests: 1000, Rejected: 500}, Counts{Requests: 100}, false},
+		{"fails where the old one rejects", Counts{Requests: 1000, Rejected: 500}, Counts{Requests: 20, Failed: 8}, true},
+		{"clearly worse than a bad old one", Counts{Requests: 1000, Failed: 300, Slow: 0}, Counts{Requests: 100, Failed: 80, Slow: 0}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var e Evaluator
--- a/pkg/coordination/rollout/counter.go
+++ b/pkg/coordination/rollout/counter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"celerypin.example/celerypin/pkg/coordination/release"
 	"celerypin.example/celerypin/pkg/state/id"
@@ -33,7 +34,7 @@
 	last := ctr.incarnation(host, inc)
 	for rr, c := range counts {
 		previous := last.counts[rr]
-		if c.Requests < previous.Requests || c.Failed < previous.Failed || c.Slow < previous.Slow {
+		if !c.Covers(previous) {
 			// Counts of one incarnation only grow, so this report is an older one.
 			continue
 		}
@@ -73,18 +74,28 @@
 	return sum
 }
 
-// failureRatio returns the ratio of a release's requests that failed, on the route
-// with the highest ratio; it is 0 without a route of minRouteRequests.
-func (ctr *counter) failureRatio(service id.Service, r id.Release) float64 {
+// failureRatio returns the ratio of a release's requests that failed, or were rejected beyond
+// the ratio of the old release, on the route with the highest ratio; it is 0 without a route of
+// minRouteRequests.
+func (ctr *counter) failureRatio(service id.Service, old, r id.Release) float64 {
 	highest := 0.0
 	for rr, c := range ctr.totals {
 		if rr.Service == service && rr.Release == r && c.Requests >= minRouteRequests {
-			highest = max(highest, float64(c.Failed)/float64(c.Requests))
+			before := ctr.totals[release.RouteRelease{Service: service, Release: old, Route: rr.Route}]
+			usual := float64(before.Rejected) / float64(max(before.Requests, 1))
+			n := float64(c.Requests)
+			// The first requests of a release deviate from the old one's ratio by chance.
+			usual += rejectionDeviations * math.Sqrt(usual*(1-usual)/n)
+			highest = max(highest, float64(c.Failed)/n+max(float64(c.Rejected)/n-usual, 0))
 		}
 	}
 	return highest
 }
 
+// rejectionDeviations is the number of standard deviations by which a release's ratio of
+// rejected requests may exceed the old one's.
+const rejectionDeviations = 2
+
 // minRouteRequests is the number of requests from which a route's failure ratio is
 // meaningful.
 const minRouteRequests = 10
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -299,7 +299,7 @@
 	if r.Step >= lastLimitedStep && c.counter.sum(o.Service, r.Change.New).Requests < minRequests && elapsed < time.Duration(maxStepFactor*float64(stepDuration)) {
 		return Write{}, false
 	}
-	if r.Step >= lastLimitedStep && c.counter.failureRatio(o.Service, r.Change.New) > maxFailureRatio {
+	if r.Step >= lastLimitedStep && c.counter.failureRatio(o.Service, r.Change.Old, r.Change.New) > maxFailureRatio {
 		return Write{}, false
 	}
 	if r.Step++; r.Step >= len(stepShares) {
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -13,9 +13,9 @@
 	"celerypin.example/celerypin/pkg/state/table"
 )
 
-// behaviour gives the fractions of a release's requests that fail or are slow.
+// behaviour gives the fractions of a release's requests that fail, are slow or are rejected.
 type behaviour struct {
-	failed, slow float64
+	failed, slow, rejected float64
 	// from is the time after the start from which the fractions apply. All requests
 	// before it succeed.
 	from time.Duration
@@ -85,6 +85,8 @@
 			c.Failed = 1
 		case p < b.failed+b.slow:
 			c.Slow = 1
+		case p < b.failed+b.slow+b.rejected:
+			c.Rejected = 1
 		}
 	}
 	s.counts[rr] = s.counts[rr].Add(c)
@@ -105,6 +107,10 @@
 		{"half of the answers fail while the old release times out", behaviour{slow: 0.37}, behaviour{failed: 0.5, slow: 0.2}, table.ReleaseRetreated},
 		{"fails after three seconds", behaviour{}, behaviour{failed: 0.5, from: 3 * time.Second}, table.ReleaseRetreated},
 		{"slow from the start", behaviour{slow: 0.02}, behaviour{slow: 0.5}, table.ReleaseRetreated},
+		{"half of the answers are rejections", behaviour{}, behaviour{rejected: 0.5}, table.ReleaseRetreated},
+		{"half of the answers are rejections, of the old release a tenth", behaviour{rejected: 0.1}, behaviour{rejected: 0.5}, table.ReleaseRetreated},
+		{"as many rejections as of the old release", behaviour{rejected: 0.33}, behaviour{rejected: 0.33}, table.ReleaseDone},
+		{"half as many rejections as of the old release", behaviour{rejected: 0.5}, behaviour{rejected: 0.25}, table.ReleaseDone},
 		{"fails from a quarter of the traffic", behaviour{}, behaviour{failed: 0.5, fromShare: 250}, table.ReleaseRetreated},
 	}
 	for _, c := range cases {
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -227,90 +227,15 @@
 	if d.account != nil {
 		params.Account = d.account.ID
 	}
+	subject := release.RouteRelease{Service: d.service, Release: c.Upstream.Info.Release, Route: d.route.Name}
 	start := d.Clock.Now()
 	mark := d.Meter.Begin(params.Account, start.Add(min(c.UntilRun(), usage.MaxWait)))
 	e := d.Sender.Send(ctx, d.request, params)
 	d.settle(&mark, e.Result)
-	d.record(ctx, c, e, d.Clock.Now().Sub(start))
+	d.record(ctx, c, subject, e, d.Clock.Now().Sub(start))
 	return e
 }
 
-// settle withdraws the count of a request that has not run, which its exchange shows.
-func (d *dispatch[A]) settle(mark *usage.Mark, result Result) {
-	if result.notRun() {
-		mark.Withdraw()
-		return
-	}
-	mark.Ended(result != NoAnswer, d.Clock.Now())
-}
-
-// record updates the state of the upstream and the counts of its release after an
-// exchange.
-func (d *dispatch[A]) record(ctx context.Context, c *place.Choice, e Exchange[A], elapsed time.Duration) {
-	now := d.Clock.Now()
-	u := c.Upstream
-	if e.HasLoad {
-		// The report leaves out this request, which still counts as in flight here.
-		u.RecordReport(e.Running+1, e.Waiting, now)
-	}
-	u.RecordPace(e.Pace, now)
-	if e.QuietFor > 0 {
-		u.RecordQuiet(now.Add(e.QuietFor))
-	}
-	interrupted := ctx.Err() != nil && context.Cause(ctx) != errDeadline
-	switch {
-	case context.Cause(ctx) == errOtherAnswered && e.Result == NoAnswer:
-		// Counts against the release below if it was slow already.
-		c.RecordAtLeast(elapsed, now)
-	case interrupted && e.Result == NoAnswer:
-		// Says nothing about the upstream, but may count against its release.
-	case interrupted && e.Result != Answered:
-		return
-	case e.Result == Answered:
-		c.RecordAnswer(elapsed, now)
-	case e.Result == Shed:
-		u.RecordShed(now)
-		d.Hedger.RecordRefusal(d.service, now)
-		return
-	case e.Result == Misdirected:
-		u.MarkDraining()
-		return
-	case e.Result == AnsweredTimeout:
-		// The upstream works; the timeout counts as a slow request below.
-	default:
-		u.RecordFailure(now)
-		if e.Result == NotSent {
-			return
-		}
-	}
-	// A cold upstream is slow regardless of its release.
-	if u.Cold(now) && e.Result != AnsweredFailure {
-		return
-	}
-	latency, outcome := c.WarmEquivalent(elapsed), release.Answered
-	switch {
-	case e.Result == AnsweredFailure:
-		outcome = release.Failed
-	case interrupted && e.Result == NoAnswer && !d.waitedFully(now):
-		outcome = release.Abandoned
-	case e.Result == NoAnswer, e.Result == AnsweredTimeout:
-		latency, outcome = max(latency, d.route.Timeout), release.Unanswered
-	}
-	d.Recorder.Record(release.RouteRelease{Service: d.service, Release: u.Info.Release, Route: d.route.Name}, latency, outcome)
-}
-
-// fullWaitFraction is the fraction of a request's time from which a client that leaves has
-// waited for all of it. The client counts from when it sent the request, so that it always
-// leaves some milliseconds before the deadline here.
-const fullWaitFraction = 0.9
-
-// waitedFully reports whether a client that leaves at now has waited as long as it had
-// stated or the route allows.
-func (d *dispatch[A]) waitedFully(now clock.Instant) bool {
-	whole := d.deadline.Sub(d.request.Arrived)
-	return now.Sub(d.request.Arrived) >= time.Duration(fullWaitFraction*float64(whole))
-}
-
 // conclude turns an exchange into a decision, or returns false if another attempt
 // follows.
 func (d *dispatch[A]) conclude(ctx context.Context, c *place.Choice, e Exchange[A]) (Decision[A], bool) {
--- a/pkg/coordination/steer/release_test.go
+++ b/pkg/coordination/steer/release_test.go
@@ -122,3 +122,38 @@
 	}
 	golden.Check(t, "abandoned_counts.golden", []byte(out.String()))
 }
+
+// TestRefusalsCountAgainstARelease guards against a release that is never found bad because
+// none of its answers counts: those that are no success, from cold upstreams as well.
+func TestRefusalsCountAgainstARelease(t *testing.T) {
+	const requests = 40
+	var out strings.Builder
+	for _, c := range []struct {
+		name     string
+		exchange Exchange[string]
+		cold     bool
+	}{
+		{"answered", Exchange[string]{}, false},
+		{"rejected", Exchange[string]{Rejected: true}, false},
+		{"rejected by cold upstreams", Exchange[string]{Rejected: true}, true},
+	} {
+		f := newFixture()
+		f.startRollout("viewer")
+		f.sender.change = func(p SendParams, e *Exchange[string]) {
+			if p.Upstream.Info.Release != "v2" {
+				return
+			}
+			if c.cold {
+				p.Upstream.SetCold(f.clock.Now().Add(time.Minute), 1000)
+			}
+			e.Result, e.Rejected = c.exchange.Result, c.exchange.Rejected
+		}
+		for range requests {
+			f.Serve(context.Background(), f.request("/swap/1", "k"))
+			f.clock.Advance(time.Second)
+		}
+		got := f.Recorder.Counts()[release.RouteRelease{Service: "viewer", Release: "v2", Route: "swap"}]
+		fmt.Fprintf(&out, "%-26s %d requests, %d failed, %d rejected\n", c.name, got.Requests, got.Failed, got.Rejected)
+	}
+	golden.Check(t, "refusal_counts.golden", []byte(out.String()))
+}
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -79,6 +79,9 @@
 	// QuietFor is how long the upstream wants no request of this host, 0 if it does not
 	// say so.
 	QuietFor time.Duration
+	// Rejected is set if the upstream answered neither with success nor with a failure of its
+	// own; valid if Answered.
+	Rejected bool
 	// ReusedConnection reports whether the exchange used a pooled connection.
 	ReusedConnection bool
 	Err              error
--- a/pkg/coordination/steer/steer_test.go
+++ b/pkg/coordination/steer/steer_test.go
@@ -31,6 +31,8 @@
 	onSend func()
 	// resultOf, if set, returns the result of each exchange with an upstream.
 	resultOf func(*place.Upstream) Result
+	// change, if set, changes the result of each exchange.
+	change func(SendParams, *Exchange[string])
 }
 
 func (s *scriptedSender) Send(_ context.Context, _ *Request, p SendParams) Exchange[string] {
@@ -47,7 +49,11 @@
 	if s.resultOf != nil {
 		result = s.resultOf(p.Upstream)
 	}
-	return Exchange[string]{Result: result, Answer: "answer", ReusedConnection: true}
+	e := Exchange[string]{Result: result, Answer: "answer", ReusedConnection: true}
+	if s.change != nil {
+		s.change(p, &e)
+	}
+	return e
 }
 
 // state returns a desired state with a route of each kind, two services, and
