Find a release bad that takes no requests or breaks answers off

What operators would see: a release whose upstreams refuse all requests or connections, or break their answers off after the head, gets all traffic and is reported completed.

Cause: requests that have not run were counted for no release, and a step without requests is taken after its longest wait. A streamed answer counted when its head arrived.

Change: requests that were turned away are counted. A release that turns away 70 of 100 more than the old one, at a share up to the exposure limit, is bad. An answer that its upstream breaks off counts as failed.

Evidence: without the comparison, "all requests are turned away" of TestRollouts fails (got growing, want retreated; 1062 of 3750 requests at the bad release); TestRefusalsCountAgainstARelease shows the counts.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -188,7 +188,7 @@
 	h.mesh = host.New[gossip.Message](s.Host, nil, gossip.Codec{}, h.controller, log.Part("mesh"), c, h.guard, h.registry)
 	h.steerer = steer.New(steer.Dependencies[*http1.Answer]{
 		State: h.state, Shares: h.shares, Draw: h.drawer.Draw, Current: h.controller.current, Accepts: h.accepts, Placer: h.placer, Splits: h.splits, Recorder: h.recorder, Approved: h.approvedRelease,
-		Sender: &sender{pool: h.pool, clock: c, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
+		Sender: &sender{pool: h.pool, log: log.Part("upstreams")}, Clock: c, Random: steer.SystemRandom{},
 		Meter:        h.usage.requestMeter(),
 		RetryRatio:   s.Bounds.RetryRatio * retryRatioFraction,
 		RetryReserve: retryReserve(s.Bounds.RetryExtra, minHosts),
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -10,7 +10,6 @@
 	"celerypin.example/celerypin/internal/transport/http1"
 	"celerypin.example/celerypin/pkg/coordination/place"
 	"celerypin.example/celerypin/pkg/coordination/steer"
-	"celerypin.example/celerypin/pkg/state/clock"
 	"celerypin.example/celerypin/pkg/state/id"
 	"celerypin.example/celerypin/platform"
 )
@@ -20,9 +19,8 @@
 
 // sender sends requests to upstreams over HTTP/1.1.
 type sender struct {
-	pool  *http1.Pool
-	clock clock.Clock
-	log   *logging.Log
+	pool *http1.Pool
+	log  *logging.Log
 }
 
 // errUnauthentic means that an answer does not prove that it comes from an upstream.
@@ -44,7 +42,7 @@
 			return ownerOf(r.Attempt, status, h)
 		},
 		// The upstream's answer was classified by its head; what follows is judged here.
-		StreamFailed: func(error) { p.Upstream.RecordFailure(s.clock.Now()) },
+		StreamFailed: func(error) { p.Broken() },
 	}
 	if r.Attempt == "" {
 		// The answer cannot name the request, so no other may share its connection.
--- a/pkg/coordination/release/evaluator.go
+++ b/pkg/coordination/release/evaluator.go
@@ -47,6 +47,10 @@
 	// minBadRequests is the smallest number of bad requests of the new release that
 	// counts.
 	minBadRequests = 4
+	// minTurnedAway is the smallest number of requests turned away by the new release that
+	// counts, minTurnedAwayDifference the difference to the old one's proportion.
+	minTurnedAway           = 20
+	minTurnedAwayDifference = 0.7
 	// minBaselineProportion is the smallest proportion of bad requests assumed for
 	// the old release.
 	minBaselineProportion = 0.005
@@ -149,6 +153,30 @@
 	return (proportion-baseline)/deviation > maxScore
 }
 
+// TurnsAway reports whether the release next of a service turns most requests away, unlike the
+// release old. It holds for small shares of next only: under load, a release with much of the
+// traffic turns requests away that the other one would not get.
+func (e *Evaluator) TurnsAway(service id.Service, old, next id.Release) (reason string, turnsAway bool) {
+	if len(e.snapshots) < 2 {
+		return "", false
+	}
+	first, last := e.snapshots[0], e.snapshots[len(e.snapshots)-1]
+	total := func(r id.Release) (sum Counts) {
+		for rr, c := range last.counts {
+			if rr.Service == service && rr.Release == r {
+				sum = sum.Add(c.Sub(first.counts[rr]))
+			}
+		}
+		return sum
+	}
+	proportion := func(c Counts) float64 { return float64(c.TurnedAway) / float64(max(c.TurnedAway+c.Requests, 1)) }
+	n, b := total(next), total(old)
+	if n.TurnedAway < minTurnedAway || proportion(n)-proportion(b) < minTurnedAwayDifference {
+		return "", false
+	}
+	return fmt.Sprintf("%d of %d were turned away, of the old release %d of %d", n.TurnedAway, n.TurnedAway+n.Requests, b.TurnedAway, b.TurnedAway+b.Requests), true
+}
+
 // Requests returns the number of requests of the release next since an instant, on
 // all routes, as far as the snapshots reach back.
 func (e *Evaluator) Requests(service id.Service, next id.Release, since clock.Instant) uint64 {
--- a/pkg/coordination/release/recorder.go
+++ b/pkg/coordination/release/recorder.go
@@ -145,6 +145,14 @@
 	usual.Store(mean + (int64(latency)-mean)/latencySmoothing)
 }
 
+// RecordTurnedAway counts a request that did not run because the upstream refused it or the
+// connection.
+func (r *Recorder) RecordTurnedAway(rr RouteRelease) { r.countersOf(rr).turnedAway.Add(1) }
+
+// RecordBroken notes that the upstream broke off the answer to a request that was counted as
+// answered.
+func (r *Recorder) RecordBroken(rr RouteRelease) { r.countersOf(rr).failed.Add(1) }
+
 func (r *Recorder) countersOf(rr RouteRelease) *counters {
 	if c := (*r.counts.Load())[rr]; c != nil {
 		return c
--- a/pkg/coordination/rollout/rollout.go
+++ b/pkg/coordination/rollout/rollout.go
@@ -250,6 +250,9 @@
 	if reason, bad := c.evaluator.Regressed(o.Service, r.Change.Old, r.Change.New); bad && c.bad[change] == "" {
 		c.bad[change] = reason
 	}
+	if reason, turnsAway := c.evaluator.TurnsAway(o.Service, r.Change.Old, r.Change.New); turnsAway && r.Step <= lastLimitedStep && c.bad[change] == "" {
+		c.bad[change] = reason
+	}
 	if reason := c.bad[change]; reason != "" {
 		r.Change.State, r.Change.Share, r.Change.Reason = table.ReleaseRetreated, 0, reason
 		return Write{Record: r, Publish: true}, true
--- a/pkg/coordination/rollout/rollout_test.go
+++ b/pkg/coordination/rollout/rollout_test.go
@@ -13,9 +13,10 @@
 	"celerypin.example/celerypin/pkg/state/table"
 )
 
-// behaviour gives the fractions of a release's requests that fail, are slow or are rejected.
+// behaviour gives the fractions of a release's requests that fail, are slow, are rejected or
+// are turned away.
 type behaviour struct {
-	failed, slow, rejected float64
+	failed, slow, rejected, turnedAway float64
 	// from is the time after the start from which the fractions apply. All requests
 	// before it succeed.
 	from time.Duration
@@ -87,6 +88,8 @@
 			c.Slow = 1
 		case p < b.failed+b.slow+b.rejected:
 			c.Rejected = 1
+		case p < b.failed+b.slow+b.rejected+b.turnedAway:
+			c = release.Counts{TurnedAway: 1}
 		}
 	}
 	s.counts[rr] = s.counts[rr].Add(c)
@@ -111,6 +114,9 @@
 		{"half of the answers are rejections, of the old release a tenth", behaviour{rejected: 0.1}, behaviour{rejected: 0.5}, table.ReleaseRetreated},
 		{"as many rejections as of the old release", behaviour{rejected: 0.33}, behaviour{rejected: 0.33}, table.ReleaseDone},
 		{"half as many rejections as of the old release", behaviour{rejected: 0.5}, behaviour{rejected: 0.25}, table.ReleaseDone},
+		{"all requests are turned away", behaviour{}, behaviour{turnedAway: 1}, table.ReleaseRetreated},
+		{"as many are turned away as by the old release", behaviour{turnedAway: 0.6}, behaviour{turnedAway: 0.6}, table.ReleaseDone},
+		{"a third is turned away", behaviour{}, behaviour{turnedAway: 0.33}, table.ReleaseDone},
 		{"fails from a quarter of the traffic", behaviour{}, behaviour{failed: 0.5, fromShare: 250}, table.ReleaseRetreated},
 	}
 	for _, c := range cases {
--- a/pkg/coordination/steer/dispatch.go
+++ b/pkg/coordination/steer/dispatch.go
@@ -228,6 +228,10 @@
 		params.Account = d.account.ID
 	}
 	subject := release.RouteRelease{Service: d.service, Release: c.Upstream.Info.Release, Route: d.route.Name}
+	params.Broken = func() {
+		c.Upstream.RecordFailure(d.Clock.Now())
+		d.Recorder.RecordBroken(subject)
+	}
 	start := d.Clock.Now()
 	mark := d.Meter.Begin(params.Account, start.Add(min(c.UntilRun(), usage.MaxWait)))
 	e := d.Sender.Send(ctx, d.request, params)
--- a/pkg/coordination/steer/record.go
+++ b/pkg/coordination/steer/record.go
@@ -46,6 +46,7 @@
 	case e.Result == Shed:
 		u.RecordShed(now)
 		d.Hedger.RecordRefusal(d.service, now)
+		d.recordTurnedAway(u, subject, now)
 		return
 	case e.Result == Misdirected:
 		u.MarkDraining()
@@ -55,6 +56,7 @@
 	default:
 		u.RecordFailure(now)
 		if e.Result == NotSent {
+			d.recordTurnedAway(u, subject, now)
 			return
 		}
 	}
@@ -77,6 +79,13 @@
 	d.Recorder.Record(subject, latency, outcome)
 }
 
+// recordTurnedAway counts a request that an upstream did not take. A cold one takes few.
+func (d *dispatch[A]) recordTurnedAway(u *place.Upstream, subject release.RouteRelease, now clock.Instant) {
+	if !u.Cold(now) {
+		d.Recorder.RecordTurnedAway(subject)
+	}
+}
+
 // fullWaitFraction is the fraction of a request's time from which a client that leaves has
 // waited for all of it. The client counts from when it sent the request, so that it always
 // leaves some milliseconds before the deadline here.
--- a/pkg/coordination/steer/release_test.go
+++ b/pkg/coordination/steer/release_test.go
@@ -124,7 +124,8 @@
 }
 
 // TestRefusalsCountAgainstARelease guards against a release that is never found bad because
-// none of its answers counts: those that are no success, from cold upstreams as well.
+// none of its answers counts: those that are no success, from cold upstreams as well, those
+// that are broken off, and requests that it does not take.
 func TestRefusalsCountAgainstARelease(t *testing.T) {
 	const requests = 40
 	var out strings.Builder
@@ -132,10 +133,16 @@
 		name     string
 		exchange Exchange[string]
 		cold     bool
+		broken   bool
 	}{
-		{"answered", Exchange[string]{}, false},
-		{"rejected", Exchange[string]{Rejected: true}, false},
-		{"rejected by cold upstreams", Exchange[string]{Rejected: true}, true},
+		{"answered", Exchange[string]{}, false, false},
+		{"rejected", Exchange[string]{Rejected: true}, false, false},
+		{"rejected by cold upstreams", Exchange[string]{Rejected: true}, true, false},
+		{"broken off", Exchange[string]{}, false, true},
+		{"not run", Exchange[string]{Result: Shed}, false, false},
+		{"not run by cold upstreams", Exchange[string]{Result: Shed}, true, false},
+		{"connection refused", Exchange[string]{Result: NotSent}, false, false},
+		{"another upstream", Exchange[string]{Result: Misdirected}, false, false},
 	} {
 		f := newFixture()
 		f.startRollout("viewer")
@@ -146,6 +153,9 @@
 			if c.cold {
 				p.Upstream.SetCold(f.clock.Now().Add(time.Minute), 1000)
 			}
+			if c.broken {
+				p.Broken()
+			}
 			e.Result, e.Rejected = c.exchange.Result, c.exchange.Rejected
 		}
 		for range requests {
@@ -153,7 +163,7 @@
 			f.clock.Advance(time.Second)
 		}
 		got := f.Recorder.Counts()[release.RouteRelease{Service: "viewer", Release: "v2", Route: "swap"}]
-		fmt.Fprintf(&out, "%-26s %d requests, %d failed, %d rejected\n", c.name, got.Requests, got.Failed, got.Rejected)
+		fmt.Fprintf(&out, "%-26s %d requests, %d failed, %d rejected, %d turned away\n", c.name, got.Requests, got.Failed, got.Rejected, got.TurnedAway)
 	}
 	golden.Check(t, "refusal_counts.golden", []byte(out.String()))
 }
--- a/pkg/coordination/steer/steer.go
+++ b/pkg/coordination/steer/steer.go
@@ -96,6 +96,8 @@
 	Remaining time.Duration
 	// NewConnection forbids the use of a pooled connection.
 	NewConnection bool
+	// Broken is to be called if the upstream breaks off an answer that counted as Answered.
+	Broken func()
 }
 
 // Sender sends requests to upstreams. A is the type of answers.
