Let the soak bring the store back from an older copy

Without the flag the schedules of seeds are as before.

The own interface's recordOutcome is shorter; it counts as before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -43,6 +43,7 @@
 			&cli.IntFlag{Name: "hosts", Usage: "run `N` hosts in each of six failure domains", Value: 1},
 			&cli.IntFlag{Name: "upstreams", Usage: "run `N` upstreams of each service in each failure domain", Value: 2},
 			&cli.IntFlag{Name: "callers", Usage: "send requests from `N` callers", Value: 24},
+			&cli.BoolFlag{Name: "restore-store", Usage: "also let the store come back from an older copy; changes the schedules of seeds"},
 			&cli.StringFlag{Name: "logs", Usage: "write the logs of processes below `DIRECTORY`", Value: filepath.Join(os.TempDir(), "celerypin-soak")},
 		},
 		Action: run,
@@ -65,6 +66,7 @@
 		report, err := soak.Run(ctx, soak.Options{
 			Program: c.String("program"), Seed: seed, Duration: c.Duration("for"), HostsPerDomain: c.Int("hosts"),
 			UpstreamsPerDomain: c.Int("upstreams"), Callers: c.Int("callers"), Logs: logs, Progress: os.Stderr,
+			RestoreStore: c.Bool("restore-store"),
 		})
 		if report != nil {
 			report.Write(os.Stdout)
--- a/internal/edge/store_era_test.go
+++ b/internal/edge/store_era_test.go
@@ -81,10 +81,8 @@
 }
 
 func upstreamRow(number mirror.Number, key, state string) mirror.Row {
-	return numbered(number, key, map[string]any{
-		"address": "10.0.0.9:80", "born": 1000, "info": map[string]any{"service": "desk", "version": "v1", "zone": "d", "slots": 4},
-		"status": map[string]any{"state": state, "coldLeftS": 0},
-	})
+	value := standin.RawUpstream{Address: "10.0.0.9:80", Service: "desk", Domain: "d", State: state, Slots: "4", Cold: "0", Incarnation: 1000}.Value()
+	return mirror.Row{Key: key, Value: value, Version: mirror.Version{Number: number}}
 }
 
 // TestStoreEraDoesNotUndoWithdrawals guards against requests to an upstream that reported that
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,12 +30,14 @@
 // timing.
 type faultFunc func(s *soak, rng *rand.Rand, d time.Duration)
 
-// faultKinds are the faults that a schedule draws from. Their order and number
-// determine the schedule of a seed.
-var faultKinds = []struct {
+type faultKind struct {
 	name   string
 	inject faultFunc
-}{
+}
+
+// faultKinds are the faults that a schedule draws from. Their order and number
+// determine the schedule of a seed.
+var faultKinds = []faultKind{
 	{"kill a host", killHost}, {"pause a host", pauseHost}, {"stop a host", stopHost}, {"reload a host", reloadHost},
 	{"kill several hosts", killSeveral}, {"store fails", failStore}, {"store refuses hosts", refuseHosts}, {"store compacts its history", compactHistory},
 	{"block connections of a host to the store", blockStore}, {"block connections of others to a host", blockPeers}, {"reset connections between hosts", resetPeers},
@@ -44,12 +47,20 @@
 	{"upstream leaves without telling the store", leaveUpstream}, {"upstream wants no requests", quietUpstream},
 }
 
+// restoreWeight is the number of other kinds of faults to which restoring the store amounts.
+const restoreWeight = 4
+
 // injectFaults injects random faults, some of which overlap, until the run's duration
 // is over, and waits for the last one to end.
 func (s *soak) injectFaults(ctx context.Context) {
+	kinds := faultKinds
+	if s.RestoreStore {
+		restore := faultKind{"store comes back from an older copy", restoreStore}
+		kinds = append(slices.Clone(kinds), slices.Repeat([]faultKind{restore}, restoreWeight)...)
+	}
 	var running sync.WaitGroup
 	for end := time.Now().Add(s.Duration); time.Now().Before(end) && ctx.Err() == nil; {
-		f := faultKinds[s.rng.IntN(len(faultKinds))]
+		f := kinds[s.rng.IntN(len(kinds))]
 		d := minFaultDuration + time.Duration(s.rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 3))
 		done := s.record.beginFault()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,7 +13,10 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"celerypin.example/celerypin/platform/standin"
 )
 
 // ErrPromiseBroken is the sentinel of runs in which a promise did not hold.
@@ -31,6 +34,9 @@
 	// regions of two failure domains each. UpstreamsPerDomain counts those of each
 	// service.
 	HostsPerDomain, UpstreamsPerDomain, Callers int
+	// RestoreStore adds the fault by which the store comes back from an older copy. It changes
+	// the schedule of a seed.
+	RestoreStore bool
 	// Logs is the directory for the settings and logs of the processes.
 	Logs string
 	// Progress receives a line for each fault.
@@ -66,6 +72,9 @@
 		c := newCaller(s, i)
 		load.Go(func() { c.run(loadCtx) })
 	}
+	if o.RestoreStore {
+		load.Go(func() { s.keepBackups(loadCtx) })
+	}
 	s.injectFaults(ctx)
 	s.clearFaults()
 	sleep(ctx, recoveryTime)
@@ -98,6 +107,9 @@
 	// mu guards faultLog; the mutex of the deployment is deployment.mu.
 	mu       sync.Mutex
 	faultLog []string
+	// backups are copies of the store, the last one the latest; kept if RestoreStore.
+	backups   []standin.Backup
+	restoring atomic.Bool
 	// probes numbers the requests of checkFinalState.
 	probes int
 }
--- a/internal/transport/caller/forward.go
+++ b/internal/transport/caller/forward.go
@@ -285,15 +285,14 @@
 	if errors.Is(err, transport.ErrNotRun) || errors.Is(err, transport.ErrSilent) || errors.Is(x.r.Context().Err(), context.Canceled) {
 		return
 	}
-	subject := release.RouteRelease{Service: upstream.Info.Service, Release: upstream.Info.Release, Route: x.admission.Route.ID}
-	outcome := release.Answered
+	outcome, info := release.Answered, upstream.Info
 	switch {
 	case err != nil || response.StatusCode >= http.StatusInternalServerError:
 		outcome = release.Failed
 	case response.StatusCode >= http.StatusMultipleChoices:
 		outcome = release.Rejected
 	}
-	x.server.Recorder.Record(subject, x.server.Clock.Now().Sub(start), outcome)
+	x.server.Recorder.Record(release.RouteRelease{Service: info.Service, Release: info.Release, Route: x.admission.Route.ID}, x.server.Clock.Now().Sub(start), outcome)
 }
 
 // classifyError returns the refusal for a failed attempt, and whether another upstream may be
