Keep no lapsed entry longer than a leaving upstream is used

What callers would see: a host that cannot read the store sends requests to an upstream that left up to 12 s before, although another host has told it of the removal.

Cause: such an entry was kept for as long as the host's own reads failed. A single host may be cut off from the store while the others read it, and the removal that it hears of is final.

Change: a lapsed entry is kept until the table is settled, but less than the time in which a leaving upstream must get nothing more.

Evidence: TestRemovalHeardFromAnotherHostIsInForce failed before (got the entry 1.9s after its removal).

--- a/internal/edge/lapse_test.go
+++ b/internal/edge/lapse_test.go
@@ -19,6 +19,7 @@
 	h := newTestHost(t, c)
 	s := *h.settings.Load()
 	s.Regions = map[id.FailureDomain]id.Region{"d": "r"}
+	s.Bounds.Drain = 3 * time.Second
 	h.settings.Store(&s)
 	table := h.copies.tables[platform.Upstreams]
 	pass := func(d time.Duration) {
@@ -41,3 +42,26 @@
 		t.Error("got the entry of an upstream that did not return, want none")
 	}
 }
+
+// TestRemovalHeardFromAnotherHostIsInForce guards against requests to an upstream that has left,
+// from a host that cannot read the store for a long time and hears of it from another host.
+func TestRemovalHeardFromAnotherHostIsInForce(t *testing.T) {
+	c := clock.NewFake()
+	h := newTestHost(t, c)
+	s := *h.settings.Load()
+	s.Regions = map[id.FailureDomain]id.Region{"d": "r"}
+	s.Bounds.Drain = 2 * time.Second
+	h.settings.Store(&s)
+	h.copies.applyRelayed(platform.Upstreams, mirror.Changes{Rows: []mirror.Row{upstreamRow(5, "u", "ready")}, Version: mirror.Version{Number: 5}, Full: true})
+	h.controller.step(context.Background(), c.Now())
+	table := h.copies.tables[platform.Upstreams]
+	h.copies.recordResult(platform.Upstreams, table, platform.ErrUnavailable)
+	h.copies.applyRelayed(platform.Upstreams, mirror.Changes{Version: mirror.Version{Number: 9}, Full: true})
+	h.controller.step(context.Background(), c.Now())
+	c.Advance(s.Bounds.Drain - drainMargin)
+	h.copies.recordResult(platform.Upstreams, table, platform.ErrUnavailable)
+	h.controller.step(context.Background(), c.Now())
+	if _, kept := h.controller.upstreams.entries["u"]; kept {
+		t.Errorf("got the entry %v after its removal, want none", s.Bounds.Drain-drainMargin)
+	}
+}
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -18,6 +18,9 @@
 	// removedRetention is how long a removal is remembered. The store may come back from a
 	// copy that is some seconds old and still has the entry.
 	removedRetention = 30 * time.Second
+	// drainMargin is the part of the time in which a leaving upstream must get no more
+	// requests that is left for the last ones to arrive.
+	drainMargin = 100 * time.Millisecond
 	// refreshInterval is the interval at which the placer gets the current demand.
 	refreshInterval = time.Second
 	// minReturnCold is the minimum time for which the upstreams of a failure domain
@@ -48,8 +51,9 @@
 	coldUntil clock.Instant
 	// implausible is set once it has been logged that the entry is not used.
 	implausible bool
-	// lapsed is set if the row was deleted but the entry is kept until the table is settled.
-	lapsed bool
+	// lapsed is set if the row was deleted but the entry is kept for a while since lapsedAt.
+	lapsed   bool
+	lapsedAt clock.Instant
 }
 
 // removal is the removal of an entry, as known in an era.
@@ -123,7 +127,7 @@
 func (l *upstreamList) remove(key string, old entry, era mirror.Era, now clock.Instant) {
 	l.changed = true
 	if !l.host.copies.tables[platform.Upstreams].settled(now) && old.info.State == fleet.UpstreamLive {
-		old.lapsed = true
+		old.lapsed, old.lapsedAt = true, now
 		l.entries[key] = old
 		l.log.With("upstream", old.info.ID).Info("An entry lapsed; waiting for its return.")
 		return
@@ -167,8 +171,11 @@
 func (l *upstreamList) step(now clock.Instant) {
 	l.applyRestored(now)
 	settled := l.host.copies.tables[platform.Upstreams].settled(now)
+	// Another host may have read the deletion while this one cannot read the store. It may be
+	// final, so the entry is not used longer than that of any upstream that has left.
+	retention := min(rewriteTime, l.host.settings.Load().Bounds.Drain-drainMargin)
 	for key, e := range l.entries {
-		if e.lapsed && settled {
+		if e.lapsed && (settled || now.Sub(e.lapsedAt) >= retention) {
 			delete(l.entries, key)
 			l.changed = true
 			l.removed[key] = removal{incarnation: e.info.Incarnation, era: e.era, at: now}
