--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,6 +73,7 @@
 		load.Go(func() { c.run(loadCtx) })
 	}
 	if o.RestoreStore {
+		s.backups = []standin.Backup{s.store.Backup()}
 		load.Go(func() { s.keepBackups(loadCtx) })
 	}
 	s.injectFaults(ctx)
